--- /dev/null
+++ b/include/basilusher/Control/Routing.h
@@ -0,0 +1,41 @@
+// Which component of an entry handles which message.
+#ifndef BASILUSHER_CONTROL_ROUTING_H_
+#define BASILUSHER_CONTROL_ROUTING_H_
+
+#include <cstddef>
+#include <vector>
+
+#include "basilusher/Support/EnumTable.h"
+#include "basilusher/Wire/Messages.h"
+
+namespace basilusher {
+
+/// Components of an entry, each in an actor of its own.
+enum class ComponentKind {
+  kMembership,
+  kConfig,
+  kSlotHome,
+  kPlaceHome,
+  kClaimHome,
+  kFrontDoor,
+  kTaskHome,
+};
+
+inline constexpr std::size_t kComponentCount = 7;
+
+inline constexpr EnumTable<ComponentKind, kComponentCount> kComponentNames = {{
+    {ComponentKind::kMembership, "membership"},
+    {ComponentKind::kConfig, "config"},
+    {ComponentKind::kSlotHome, "slot-home"},
+    {ComponentKind::kPlaceHome, "place-home"},
+    {ComponentKind::kClaimHome, "claim-home"},
+    {ComponentKind::kFrontDoor, "front-door"},
+    {ComponentKind::kTaskHome, "task-home"},
+}};
+
+/// Components that handle `message`. Thread-safe.
+std::vector<ComponentKind> RecipientsOf(const Message& message);
+
+}  // namespace basilusher
+
+#endif  // BASILUSHER_CONTROL_ROUTING_H_
--- /dev/null
+++ b/include/basilusher/Daemon/WorkerClient.h
@@ -0,0 +1,60 @@
+// HTTP calls to workers, within each worker's share of connections.
+#ifndef BASILUSHER_DAEMON_WORKERCLIENT_H_
+#define BASILUSHER_DAEMON_WORKERCLIENT_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "basilusher/Control/FrontDoor.h"
+#include "basilusher/Support/Counters.h"
+
+namespace basilusher {
+
+/// Connections of one entry to one worker: the worker's connections are shared
+/// by `entries` entries and one that may be joining. Thread-safe.
+int ConnectionShare(int connections, int entries);
+
+/// Blocking calls. Thread-safe.
+class WorkerClient {
+ public:
+  /// `holder` identifies this entry's run to workers.
+  WorkerClient(std::string holder, Counters* counters);
+  ~WorkerClient();
+
+  /// Sets how many entries share each worker's connections.
+  void SetEntries(int entries);
+  /// Sends one attempt and waits for its whole answer.
+  DispatchResult Run(const DispatchOrder& order, const std::string& body,
+                     const std::string& traceparent);
+  /// Asks whether an attempt runs and bars it from starting later.
+  RunState CheckRun(const WorkerInfo& worker, const std::string& request_id,
+                    int attempt);
+  /// Runs in progress for `holder` on `worker`, and bars the holder; -1 if the
+  /// worker does not answer.
+  int BarHolder(const WorkerInfo& worker, const std::string& holder);
+
+ private:
+  class Connection;
+  struct Pool {
+    std::vector<std::unique_ptr<Connection>> idle;
+    int open = 0;
+  };
+
+  std::unique_ptr<Connection> Borrow(const WorkerInfo& worker, bool fresh);
+  void Return(const WorkerInfo& worker, std::unique_ptr<Connection> connection,
+              bool reusable);
+
+  std::string holder_;
+  Counters* counters_;
+  std::mutex mutex_;
+  int entries_ = 1;
+  std::map<std::string, Pool> pools_;
+};
+
+}  // namespace basilusher
+
+#endif  // BASILUSHER_DAEMON_WORKERCLIENT_H_
--- /dev/null
+++ b/include/basilusher/Standin/WorkerCore.h
@@ -0,0 +1,72 @@
+// A worker's slots, runs and bars: the core of the stand-in and of the fake.
+#ifndef BASILUSHER_STANDIN_WORKERCORE_H_
+#define BASILUSHER_STANDIN_WORKERCORE_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "basilusher/Support/Json.h"
+
+namespace basilusher {
+
+/// Work that one attempt brought to a worker, kept for ever as evidence.
+struct RunRecord {
+  std::string request_id;
+  int attempt = 0;
+  std::string team;
+  std::string holder;
+  /// First line of the body, by which tests know their requests.
+  std::string tag;
+  bool finished = false;
+  std::int64_t started_micros = 0;
+  std::int64_t finished_micros = 0;
+};
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunRecord, request_id, attempt, team, holder,
+                                   tag, finished, started_micros,
+                                   finished_micros)
+
+/// Not thread-safe.
+class WorkerCore {
+ public:
+  explicit WorkerCore(int slots) : slots_(slots) {}
+
+  /// Starts a run; false if no slot is free, the worker is leaving, or the
+  /// holder or the attempt is barred: then nothing ran.
+  bool Start(const RunRecord& run);
+  /// Ends a run that was started.
+  void Finish(const std::string& request_id, int attempt,
+              std::int64_t finished_micros);
+  /// Bars an attempt from starting; returns whether it runs.
+  bool BarRun(const std::string& request_id, int attempt);
+  /// Bars a holder; returns its runs in progress.
+  int BarHolder(const std::string& holder);
+  /// Refuses new runs from now on.
+  void Leave() { leaving_ = true; }
+  bool Leaving() const { return leaving_; }
+  int Running() const { return static_cast<int>(running_.size()); }
+  int RunningOf(const std::string& team) const;
+  /// The most that ran at once.
+  int Peak() const { return peak_; }
+  const std::vector<RunRecord>& Records() const { return records_; }
+
+ private:
+  using RunKey = std::pair<std::string, int>;
+
+  int slots_;
+  bool leaving_ = false;
+  int peak_ = 0;
+  /// Index of each run in progress in `records_`.
+  std::map<RunKey, std::size_t> running_;
+  std::vector<RunRecord> records_;
+  std::set<RunKey> barred_runs_;
+  std::set<std::string> barred_holders_;
+};
+
+}  // namespace basilusher
+
+#endif  // BASILUSHER_STANDIN_WORKERCORE_H_
--- /dev/null
+++ b/include/basilusher/Support/Log.h
@@ -0,0 +1,50 @@
+// Structured logs and spans: one JSON object a line, written by log4cplus.
+#ifndef BASILUSHER_SUPPORT_LOG_H_
+#define BASILUSHER_SUPPORT_LOG_H_
+
+#include <string>
+#include <string_view>
+
+#include "basilusher/Support/Json.h"
+#include "basilusher/Support/Trace.h"
+
+namespace basilusher {
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+/// Options of the process's log.
+struct LogOptions {
+  /// Name of the process, in each line as "process".
+  std::string process;
+  /// File to append to; empty for standard error.
+  std::string file;
+  LogLevel level = LogLevel::kInfo;
+};
+
+/// Opens the log. Call once, before the first line and before threads start.
+void OpenLog(const LogOptions& options);
+
+/// Closes the log and flushes it. Call once, after threads have ended.
+void CloseLog();
+
+/// Writes one line with the stable event name `event` and `fields` (an object).
+/// Keys, tokens and payloads must not be passed. Does nothing before OpenLog.
+/// Thread-safe.
+void LogEvent(LogLevel level, std::string_view event, const Json& fields);
+
+/// One finished hop of a trace.
+struct Span {
+  TraceContext context;
+  std::string parent_id;
+  std::string name;
+  long long start_micros = 0;
+  long long end_micros = 0;
+  Json attributes = Json::object();
+};
+
+/// Writes `span` as a line with event "span". Thread-safe.
+void LogSpan(const Span& span);
+
+}  // namespace basilusher
+
+#endif  // BASILUSHER_SUPPORT_LOG_H_
--- /dev/null
+++ b/lib/Control/ClaimHome.cc
@@ -0,0 +1,295 @@
+// Look-ups, claims and recorded outcomes of idempotency keys.
+#include "basilusher/Control/ClaimHome.h"
+
+#include <utility>
+
+#include "basilusher/Model/Outcome.h"
+#include "basilusher/Support/Digest.h"
+
+namespace basilusher {
+namespace {
+
+constexpr Millis kLookupTimeout{1500};
+constexpr Millis kExpiryPeriod{60000};
+/// Time for which a repeated submission waits for the first one's outcome.
+constexpr Millis kParkTimeout{2000};
+
+constexpr char kClaimRecord[] = "claim";
+constexpr char kDoneRecord[] = "done";
+
+std::string ClaimName(const std::string& team, const std::string& key) {
+  return std::to_string(team.size()) + ":" + team + ":" + key;
+}
+
+Json OutcomeJson(const RecordedOutcome& outcome) {
+  return {{"outcome", outcome.outcome}, {"code", outcome.code},
+          {"status", outcome.status},   {"body", outcome.body},
+          {"digest", outcome.digest},   {"kept", outcome.body_kept},
+          {"worker", outcome.worker}};
+}
+
+RecordedOutcome OutcomeOf(const Json& json) {
+  return {.outcome = json.at("outcome").get<int>(),
+          .code = json.at("code").get<int>(),
+          .status = json.at("status").get<int>(),
+          .body = json.at("body").get<std::string>(),
+          .digest = json.at("digest").get<std::string>(),
+          .body_kept = json.at("kept").get<bool>(),
+          .worker = json.at("worker").get<std::string>()};
+}
+
+}  // namespace
+
+int ClaimBucketOf(const std::string& team, const std::string& key) {
+  return static_cast<int>(PlacementHash(team, key) % kClaimBuckets);
+}
+
+std::string ClaimSubject(int bucket) {
+  return "claims/" + std::to_string(bucket);
+}
+
+ClaimHome::ClaimHome(Context context) : context_(std::move(context)) {}
+
+ClaimHome::Bucket* ClaimHome::BucketOf(const std::string& team,
+                                       const std::string& key) {
+  const int number = ClaimBucketOf(team, key);
+  Bucket& bucket = buckets_[number];
+  if (bucket.journal == nullptr) {
+    bucket.journal = std::make_unique<Journal>(
+        context_, JournalOptions{.prefix = ClaimSubject(number) + "/"},
+        [this, &bucket](const Json& record) { Apply(&bucket, record); });
+  }
+  return &bucket;
+}
+
+std::size_t ClaimHome::Pending() const {
+  std::size_t pending = 0;
+  for (const std::pair<const int, Bucket>& row : buckets_) {
+    pending += row.second.journal->Pending() + row.second.waiting.size();
+  }
+  return pending;
+}
+
+void ClaimHome::OnMessage(const PeerId& from, const Message& message) {
+  if (const ClaimAsk* ask = std::get_if<ClaimAsk>(&message)) OnAsk(from, *ask);
+  if (const ClaimDone* done = std::get_if<ClaimDone>(&message)) {
+    OnDone(from, *done);
+  }
+}
+
+void ClaimHome::OnAsk(const PeerId& from, const ClaimAsk& ask) {
+  Bucket* bucket = BucketOf(ask.team, ask.key);
+  if (!bucket->journal->Loaded()) {
+    if (bucket->waiting.empty()) bucket->waiting_since = context_.clock->Now();
+    bucket->waiting.emplace_back(from, ask);
+    bucket->journal->Load();
+    AnswerWaiting(bucket);
+    return;
+  }
+  if (ask.commit) {
+    Commit(bucket, from, ask);
+    return;
+  }
+  Reply(bucket, from, ask, ReplyFor(*bucket, ask));
+}
+
+void ClaimHome::Reply(Bucket* bucket, const PeerId& from, const ClaimAsk& ask,
+                      const ClaimReply& reply) {
+  if (reply.state == ClaimState::kInProgress) {
+    // The first submission is likely to end soon; this one gets its outcome.
+    bucket->parked.try_emplace(ask.request_id,
+                               ParkedAsk{from, ask, context_.clock->Now()});
+    return;
+  }
+  context_.bus->Send(from.instance, reply);
+}
+
+void ClaimHome::AnswerParked(Bucket* bucket) {
+  const TimePoint now = context_.clock->Now();
+  for (auto it = bucket->parked.begin(); it != bucket->parked.end();) {
+    const ParkedAsk& row = it->second;
+    const ClaimReply reply = ReplyFor(*bucket, row.ask);
+    if (reply.state == ClaimState::kInProgress &&
+        now - row.since < kParkTimeout) {
+      ++it;
+      continue;
+    }
+    const ParkedAsk ended = row;
+    it = bucket->parked.erase(it);
+    if (reply.state == ClaimState::kAbsent && ended.ask.commit) {
+      Commit(bucket, ended.from, ended.ask);
+    } else {
+      context_.bus->Send(ended.from.instance, reply);
+    }
+  }
+}
+
+ClaimReply ClaimHome::ReplyFor(const Bucket& bucket,
+                               const ClaimAsk& ask) const {
+  ClaimReply reply{.request_id = ask.request_id,
+                   .commit = ask.commit,
+                   .state = ClaimState::kAbsent};
+  const auto it = bucket.claims.find(ClaimName(ask.team, ask.key));
+  if (it == bucket.claims.end()) return reply;
+  const Claim& claim = it->second;
+  if (claim.request_id == ask.request_id &&
+      claim.state == ClaimState::kClaimed) {
+    reply.state = ClaimState::kClaimed;
+    return reply;
+  }
+  if (claim.body_digest != ask.body_digest) {
+    reply.state = ClaimState::kReused;
+    return reply;
+  }
+  reply.outcome = claim.outcome;
+  reply.state = claim.state == ClaimState::kRecorded ? ClaimState::kRecorded
+                                                     : ClaimState::kInProgress;
+  return reply;
+}
+
+void ClaimHome::Commit(Bucket* bucket, const PeerId& from,
+                       const ClaimAsk& ask) {
+  ClaimReply now = ReplyFor(*bucket, ask);
+  if (bucket->voided.contains(ask.request_id)) {
+    // The asker has given the request up; this ask was late.
+    now.state = ClaimState::kUnavailable;
+  }
+  if (now.state != ClaimState::kAbsent) {
+    Reply(bucket, from, ask, now);
+    return;
+  }
+  const Json record = {{"kind", kClaimRecord},
+                       {"name", ClaimName(ask.team, ask.key)},
+                       {"digest", ask.body_digest},
+                       {"request", ask.request_id},
+                       {"micros", WallMicros()}};
+  const auto still_absent = [this, bucket, ask] {
+    return !bucket->voided.contains(ask.request_id) &&
+           ReplyFor(*bucket, ask).state == ClaimState::kAbsent;
+  };
+  bucket->journal->Append(record, still_absent,
+                          [this, bucket, from, ask](AppendResult result) {
+                            ClaimReply reply = ReplyFor(*bucket, ask);
+                            if (result == AppendResult::kNotWritten ||
+                                result == AppendResult::kUnknown) {
+                              reply.state = ClaimState::kUnavailable;
+                            }
+                            Reply(bucket, from, ask, reply);
+                          });
+}
+
+void ClaimHome::OnDone(const PeerId& from, const ClaimDone& done) {
+  Bucket* bucket = BucketOf(done.team, done.key);
+  if (IsSettled(*bucket, done)) {
+    context_.bus->Send(from.instance,
+                       ClaimDoneAck{.request_id = done.request_id});
+    return;
+  }
+  if (!bucket->recording.insert(done.request_id).second) return;
+  // The outcome is a fact already; repeated submissions get it at once.
+  const auto claim = bucket->claims.find(ClaimName(done.team, done.key));
+  if (claim != bucket->claims.end() &&
+      claim->second.request_id == done.request_id &&
+      done.outcome.outcome != static_cast<int>(Outcome::kNotRun)) {
+    claim->second.state = ClaimState::kRecorded;
+    claim->second.outcome = done.outcome;
+  }
+  AnswerParked(bucket);
+  const Json record = {{"kind", kDoneRecord},
+                       {"name", ClaimName(done.team, done.key)},
+                       {"request", done.request_id},
+                       {"outcome", OutcomeJson(done.outcome)}};
+  bucket->journal->AppendLazily(
+      record, [this, bucket, from, done](AppendResult result) {
+        bucket->recording.erase(done.request_id);
+        if (result != AppendResult::kCommitted) return;
+        context_.bus->Send(from.instance,
+                           ClaimDoneAck{.request_id = done.request_id});
+      });
+}
+
+bool ClaimHome::IsSettled(const Bucket& bucket, const ClaimDone& done) {
+  if (bucket.voided.contains(done.request_id)) return true;
+  if (bucket.recording.contains(done.request_id)) return false;
+  const auto it = bucket.claims.find(ClaimName(done.team, done.key));
+  return it != bucket.claims.end() &&
+         it->second.request_id == done.request_id &&
+         it->second.state == ClaimState::kRecorded;
+}
+
+void ClaimHome::Apply(Bucket* bucket, const Json& record) {
+  const std::string name = record.at("name").get<std::string>();
+  const std::string request = record.at("request").get<std::string>();
+  if (record.at("kind") == kClaimRecord) {
+    if (bucket->voided.contains(request)) return;
+    // The first claim in the journal holds; writers check before each swap that
+    // there is none.
+    bucket->claims.emplace(
+        name, Claim{.request_id = request,
+                    .body_digest = record.at("digest").get<std::string>(),
+                    .claimed_micros = record.at("micros").get<std::int64_t>()});
+    return;
+  }
+  RecordedOutcome outcome = OutcomeOf(record.at("outcome"));
+  const bool not_run = outcome.outcome == static_cast<int>(Outcome::kNotRun);
+  if (not_run) bucket->voided.insert(request);
+  const auto it = bucket->claims.find(name);
+  if (it == bucket->claims.end() || it->second.request_id != request) return;
+  if (not_run) {
+    // Nothing of it ran: the key is free again.
+    bucket->claims.erase(it);
+    return;
+  }
+  it->second.state = ClaimState::kRecorded;
+  it->second.outcome = std::move(outcome);
+}
+
+void ClaimHome::AnswerWaiting(Bucket* bucket) {
+  if (bucket->waiting.empty()) return;
+  const bool overdue =
+      context_.clock->Now() - bucket->waiting_since >= kLookupTimeout;
+  if (!bucket->journal->Loaded() && !overdue) return;
+  const std::vector<std::pair<PeerId, ClaimAsk>> waiting =
+      std::exchange(bucket->waiting, {});
+  for (const std::pair<PeerId, ClaimAsk>& row : waiting) {
+    if (bucket->journal->Loaded()) {
+      OnAsk(row.first, row.second);
+      continue;
+    }
+    context_.bus->Send(row.first.instance,
+                       ClaimReply{.request_id = row.second.request_id,
+                                  .commit = row.second.commit,
+                                  .state = ClaimState::kUnavailable});
+  }
+}
+
+void ClaimHome::OnTick() {
+  for (std::pair<const int, Bucket>& row : buckets_) {
+    row.second.journal->OnTick();
+    if (!row.second.waiting.empty()) row.second.journal->Load();
+    AnswerWaiting(&row.second);
+    AnswerParked(&row.second);
+  }
+  ExpireOld();
+}
+
+void ClaimHome::ExpireOld() {
+  const TimePoint now = context_.clock->Now();
+  if (now < next_expiry_) return;
+  next_expiry_ = now + kExpiryPeriod;
+  const ViewPtr view = context_.views->Current();
+  if (view->intent == nullptr) return;
+  const Millis retention = view->intent->claim_retention;
+  const std::int64_t limit =
+      WallMicros() -
+      std::chrono::duration_cast<std::chrono::microseconds>(retention).count();
+  for (std::pair<const int, Bucket>& row : buckets_) {
+    row.second.journal->ExpireSegments(retention);
+    std::erase_if(row.second.claims,
+                  [limit](const std::pair<const std::string, Claim>& claim) {
+                    return claim.second.claimed_micros < limit;
+                  });
+  }
+}
+
+}  // namespace basilusher
--- /dev/null
+++ b/lib/Control/FrontDoor.cc
@@ -0,0 +1,648 @@
+// State machine of requests.
+#include "basilusher/Control/FrontDoor.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "basilusher/Control/ClaimHome.h"
+#include "basilusher/Control/SlotHome.h"
+#include "basilusher/Support/Digest.h"
+
+namespace basilusher {
+namespace {
+
+/// A question to a home is asked again after this time.
+constexpr Millis kResendPeriod{300};
+/// An order that could not be carried out within this time is decided again.
+constexpr Millis kSendWindow{250};
+constexpr Millis kRunCheckPeriod{300};
+constexpr Millis kOutcomeResend{500};
+constexpr int kMostAttempts = 4;
+constexpr Millis kFirstBackoff{10};
+constexpr int kBackoffSpreadMs = 20;
+
+Millis Remaining(TimePoint until, TimePoint now) {
+  return until <= now ? Millis(0) : until - now;
+}
+
+SlotResult SlotResultOf(DispatchStatus status) {
+  switch (status) {
+    case DispatchStatus::kAnswered:
+      return SlotResult::kAnswered;
+    case DispatchStatus::kFailed:
+      return SlotResult::kFailed;
+    case DispatchStatus::kRefused:
+      return SlotResult::kRefused;
+    case DispatchStatus::kUnreachable:
+      return SlotResult::kUnreachable;
+    case DispatchStatus::kLost:
+      return SlotResult::kLost;
+    case DispatchStatus::kNotSent:
+      return SlotResult::kUnused;
+  }
+  return SlotResult::kUnused;
+}
+
+bool IsText(const std::string& body) {
+  try {
+    static_cast<void>(Json(body).dump());
+    return true;
+  } catch (const Json::exception&) {
+    return false;
+  }
+}
+
+}  // namespace
+
+FrontDoor::FrontDoor(Context context, Dispatcher* dispatcher)
+    : context_(context), dispatcher_(dispatcher), places_(context) {}
+
+std::size_t FrontDoor::InProgress() const {
+  return requests_.size() + lost_.size() + unacked_.size();
+}
+
+std::optional<Answer> FrontDoor::Admit(const Submission& submission,
+                                       Request* request) {
+  if (!accepting_) {
+    return Refuse(ResultCode::kShuttingDown,
+                  "this entry is stopping; send the request again");
+  }
+  const ViewPtr view = context_.views->Current();
+  if (view->intent == nullptr) {
+    return Refuse(ResultCode::kNoIntent, "no intent is known yet", 500);
+  }
+  const auto queue = view->intent->queues.find(submission.queue);
+  if (queue == view->intent->queues.end()) {
+    return Refuse(ResultCode::kUnknownQueue,
+                  "queue: found \"" + submission.queue +
+                      "\"; expected: a queue of the published intent");
+  }
+  request->queue = queue->second;
+  if (submission.body_bytes > queue->second.max_body_bytes) {
+    return Refuse(ResultCode::kBodyTooLarge,
+                  "body: found " + std::to_string(submission.body_bytes) +
+                      " bytes; expected: at most " +
+                      std::to_string(queue->second.max_body_bytes));
+  }
+  if (!queue->second.idempotent && submission.idempotency_key.empty()) {
+    return Refuse(ResultCode::kIdempotencyKeyMissing,
+                  "Idempotency-Key: found nothing; expected: a key, since "
+                  "queue " +
+                      submission.queue + " is not idempotent");
+  }
+  request->team = submission.trusted_team;
+  if (request->team.empty()) {
+    request->team = view->keys->Find(submission.key).team;
+  }
+  return CheckAuthority(*request);
+}
+
+std::optional<Answer> FrontDoor::CheckAuthority(const Request& request) const {
+  const ViewPtr view = context_.views->Current();
+  if (context_.clock->Now() > view->fresh_until) {
+    return Refuse(ResultCode::kIsolated,
+                  "this entry is cut off and can't check keys", 1000);
+  }
+  if (!request.submission.trusted_team.empty()) return std::nullopt;
+  if (request.submission.key.empty()) {
+    return Refuse(ResultCode::kKeyMissing,
+                  "X-Team-Key: found nothing; expected: a team's key");
+  }
+  const KeyLookup lookup = view->keys->Find(request.submission.key);
+  if (lookup.state == KeyState::kWithdrawn) {
+    return Refuse(ResultCode::kKeyWithdrawn, "the key has been withdrawn");
+  }
+  if (lookup.state == KeyState::kUnknown) {
+    return Refuse(ResultCode::kKeyUnknown, "the key is not known");
+  }
+  if (view->intent == nullptr) return std::nullopt;
+  const auto queue = view->intent->queues.find(request.submission.queue);
+  const bool known_team = view->intent->teams.contains(lookup.team);
+  if (queue == view->intent->queues.end() || !known_team) {
+    return Refuse(ResultCode::kWrongTeam,
+                  "the published intent has no such queue or team any more");
+  }
+  if (queue->second.open) return std::nullopt;
+  const std::vector<std::string>& teams = queue->second.teams;
+  if (std::find(teams.begin(), teams.end(), lookup.team) != teams.end()) {
+    return std::nullopt;
+  }
+  return Refuse(
+      ResultCode::kWrongTeam,
+      "queue " + queue->first + " is not open to team " + lookup.team);
+}
+
+void FrontDoor::Submit(const Submission& submission) {
+  context_.counters->Add("requests");
+  Request request;
+  request.submission = submission;
+  const std::optional<Answer> refusal = Admit(submission, &request);
+  if (refusal) {
+    context_.counters->Add("requests_refused_at_admission");
+    dispatcher_->Finish(submission.request_id, *refusal);
+    return;
+  }
+  const TimePoint now = context_.clock->Now();
+  request.deadline =
+      now + (submission.deadline > Millis(0) ? submission.deadline
+                                             : request.queue.deadline);
+  retries_.OnFirstAttempt(submission.queue, request.team);
+  const auto [it, fresh] =
+      requests_.emplace(submission.request_id, std::move(request));
+  assert(fresh && "request ids are unique");
+  Advance(&it->second, Step::kParked);
+  TickRequest(&it->second);
+}
+
+void FrontDoor::Advance(Request* request, Step step) {
+  request->step = step;
+  request->step_since = context_.clock->Now();
+}
+
+std::string FrontDoor::HomeFor(const Request& request) const {
+  if (request.step == Step::kSlot) {
+    return HomeOrSelf(context_, SlotSubject(request.queue.pool));
+  }
+  return HomeOrSelf(context_,
+                    ClaimSubject(ClaimBucketOf(
+                        request.team, request.submission.idempotency_key)));
+}
+
+void FrontDoor::AskLookup(Request* request) {
+  request->sent_at = context_.clock->Now();
+  request->asked_home = HomeFor(*request);
+  context_.bus->Send(request->asked_home,
+                     ClaimAsk{.team = request->team,
+                              .key = request->submission.idempotency_key,
+                              .body_digest = request->submission.body_digest,
+                              .request_id = request->submission.request_id,
+                              .commit = request->step == Step::kClaim});
+}
+
+void FrontDoor::WaitForPlace(Request* request) {
+  Advance(request, Step::kPlace);
+  std::list<std::string>& queue = place_queues_[request->team];
+  const auto later = std::find_if(
+      queue.begin(), queue.end(), [this, request](const std::string& id) {
+        return requests_.at(id).queue.work_class > request->queue.work_class;
+      });
+  queue.insert(later, request->submission.request_id);
+  ServeWaiting(request->team);
+}
+
+void FrontDoor::ServeWaiting(const std::string& team) {
+  std::list<std::string>& queue = place_queues_[team];
+  while (!queue.empty() && places_.TryTake(team)) {
+    Request* request = &requests_.at(queue.front());
+    queue.pop_front();
+    request->place_taken = true;
+    AskSlot(request);
+  }
+  places_.SetWaiting(team, static_cast<int>(queue.size()));
+}
+
+void FrontDoor::AskSlot(Request* request) {
+  if (request->step != Step::kSlot) {
+    ++request->attempt;
+    Advance(request, Step::kSlot);
+  }
+  const TimePoint now = context_.clock->Now();
+  request->sent_at = now;
+  request->asked_home = HomeFor(*request);
+  const std::int64_t remaining = Remaining(request->deadline, now).count();
+  context_.bus->Send(request->asked_home,
+                     SlotAsk{.pool = request->queue.pool,
+                             .request_id = request->submission.request_id,
+                             .attempt = request->attempt,
+                             .team = request->team,
+                             .queue = request->queue.name,
+                             .work_class = request->queue.work_class,
+                             .wait_ms = remaining,
+                             .hold_ms = remaining,
+                             .max_waiting = request->queue.max_waiting,
+                             .avoid = request->avoid});
+}
+
+void FrontDoor::AskClaim(Request* request) {
+  Advance(request, Step::kClaim);
+  request->claim_asked = true;
+  AskLookup(request);
+}
+
+void FrontDoor::OnMessage(const PeerId& from, const Message& message) {
+  if (const SlotGrant* grant = std::get_if<SlotGrant>(&message)) {
+    OnGrant(*grant);
+  } else if (const SlotRefusal* no = std::get_if<SlotRefusal>(&message)) {
+    OnRefusal(*no);
+  } else if (const ClaimReply* reply = std::get_if<ClaimReply>(&message)) {
+    OnClaimReply(*reply);
+  } else if (const ClaimDoneAck* ack = std::get_if<ClaimDoneAck>(&message)) {
+    unacked_.erase(ack->request_id);
+  } else {
+    places_.OnMessage(from, message);
+    if (const PlaceAnswer* answer = std::get_if<PlaceAnswer>(&message)) {
+      ServeWaiting(answer->team);
+    }
+  }
+}
+
+void FrontDoor::OnGrant(const SlotGrant& grant) {
+  const auto it = requests_.find(grant.request_id);
+  if (it == requests_.end() || it->second.attempt != grant.attempt ||
+      it->second.step != Step::kSlot) {
+    // A late or repeated grant; the home lets it lapse unless it is the one in
+    // use.
+    return;
+  }
+  Request* request = &it->second;
+  request->worker = grant.worker;
+  request->slot_home = request->asked_home;
+  if (!request->queue.idempotent && !request->claimed) {
+    AskClaim(request);
+    return;
+  }
+  SendOrder(request);
+}
+
+void FrontDoor::OnRefusal(const SlotRefusal& refusal) {
+  const auto it = requests_.find(refusal.request_id);
+  if (it == requests_.end() || it->second.attempt != refusal.attempt ||
+      it->second.step != Step::kSlot) {
+    return;
+  }
+  Finish(&it->second,
+         Refuse(static_cast<ResultCode>(refusal.code),
+                "queue " + it->second.queue.name + " has no room in time",
+                refusal.retry_after_ms));
+}
+
+void FrontDoor::OnClaimReply(const ClaimReply& reply) {
+  const auto it = requests_.find(reply.request_id);
+  if (it == requests_.end()) return;
+  Request* request = &it->second;
+  if (request->step == Step::kLookup && !reply.commit) {
+    OnLookedUp(request, reply);
+  } else if (request->step == Step::kClaim && reply.commit) {
+    OnClaimed(request, reply);
+  }
+}
+
+Answer FrontDoor::AnswerFromRecord(const RecordedOutcome& outcome) const {
+  Answer answer;
+  answer.outcome = static_cast<Outcome>(outcome.outcome);
+  answer.code = static_cast<ResultCode>(outcome.code);
+  answer.status = outcome.status;
+  answer.body = outcome.body;
+  answer.worker = outcome.worker;
+  answer.scope = NotRunScope::kIdempotencyKey;
+  answer.recorded = true;
+  answer.text = "outcome of an earlier submission with this idempotency key";
+  if (answer.outcome == Outcome::kRan && !outcome.body_kept) {
+    answer.text +=
+        "; its answer was too large to keep, digest " + outcome.digest;
+  }
+  if (answer.outcome == Outcome::kUnknown) {
+    answer.code = ResultCode::kEarlierOutcomeUnknown;
+  }
+  return answer;
+}
+
+void FrontDoor::OnLookedUp(Request* request, const ClaimReply& reply) {
+  switch (reply.state) {
+    case ClaimState::kAbsent:
+    case ClaimState::kClaimed:
+      WaitForPlace(request);
+      return;
+    case ClaimState::kRecorded:
+      Finish(request, AnswerFromRecord(reply.outcome));
+      return;
+    case ClaimState::kInProgress:
+      Finish(request, Doubt(ResultCode::kClaimInProgress,
+                            "another submission with this idempotency key is "
+                            "in progress or its entry was lost"));
+      return;
+    case ClaimState::kReused:
+      Finish(request, Refuse(ResultCode::kIdempotencyKeyReused,
+                             "Idempotency-Key: used before for another body; "
+                             "expected: a new key for new work"));
+      return;
+    case ClaimState::kUnavailable:
+      Finish(request,
+             Refuse(ResultCode::kClaimUnavailable,
+                    "the record of idempotency keys can't be read", 1000));
+      return;
+  }
+}
+
+void FrontDoor::OnClaimed(Request* request, const ClaimReply& reply) {
+  if (reply.state == ClaimState::kClaimed) {
+    request->claimed = true;
+    SendOrder(request);
+    return;
+  }
+  if (reply.state == ClaimState::kAbsent ||
+      reply.state == ClaimState::kUnavailable) {
+    // The claim may still land; its "not run" is recorded for that case.
+    Finish(request, Refuse(ResultCode::kClaimUnavailable,
+                           "the idempotency key could not be claimed", 1000));
+    return;
+  }
+  request->claim_asked = false;
+  OnLookedUp(request, reply);
+}
+
+void FrontDoor::SendOrder(Request* request) {
+  const ViewPtr view = context_.views->Current();
+  const TimePoint now = context_.clock->Now();
+  std::optional<Answer> refusal = CheckAuthority(*request);
+  if (!refusal && now >= request->deadline) {
+    refusal = Refuse(ResultCode::kDeadlineExpired,
+                     "the deadline passed before a worker was free");
+  }
+  if (refusal) {
+    Finish(request, *refusal);
+    return;
+  }
+  const auto worker = view->workers.find(request->worker);
+  const bool usable = worker != view->workers.end() && !worker->second.leaving;
+  if (!usable || !places_.StillAllowed(request->team)) {
+    ReturnSlot(request, SlotResult::kUnused, Millis(0));
+    Retry(request);
+    return;
+  }
+  Advance(request, Step::kDispatched);
+  context_.counters->Add("dispatches");
+  dispatcher_->Dispatch({.request_id = request->submission.request_id,
+                         .attempt = request->attempt,
+                         .worker = worker->second,
+                         .team = request->team,
+                         .idempotent = request->queue.idempotent,
+                         .send_before = now + kSendWindow,
+                         .answer_before = request->deadline});
+}
+
+void FrontDoor::OnDispatched(const std::string& request_id, int attempt,
+                             const DispatchResult& result) {
+  const auto it = requests_.find(request_id);
+  if (it == requests_.end() || it->second.attempt != attempt ||
+      it->second.step != Step::kDispatched) {
+    return;
+  }
+  Request* request = &it->second;
+  if (result.status == DispatchStatus::kNotSent) {
+    // The slot is still granted; authority is checked anew.
+    SendOrder(request);
+    return;
+  }
+  ReturnSlot(request, SlotResultOf(result.status), result.service);
+  switch (result.status) {
+    case DispatchStatus::kAnswered:
+    case DispatchStatus::kFailed:
+      Finish(request, {.outcome = Outcome::kRan,
+                       .status = result.http_status,
+                       .body = result.body,
+                       .worker = request->worker});
+      return;
+    case DispatchStatus::kRefused:
+    case DispatchStatus::kUnreachable:
+      request->avoid.push_back(request->worker);
+      Retry(request);
+      return;
+    case DispatchStatus::kLost:
+      OnLost(request);
+      return;
+    case DispatchStatus::kNotSent:
+      return;
+  }
+}
+
+void FrontDoor::OnLost(Request* request) {
+  context_.counters->Add("answers_lost");
+  const ViewPtr view = context_.views->Current();
+  const auto worker = view->workers.find(request->worker);
+  WorkerInfo info;
+  info.id = request->worker;
+  if (worker != view->workers.end()) info = worker->second;
+  // The attempt may still run: its place stays taken until the worker denies
+  // it.
+  lost_.push_back({.request_id = request->submission.request_id,
+                   .attempt = request->attempt,
+                   .team = request->team,
+                   .worker = info});
+  request->place_taken = false;
+  request->maybe_ran = true;
+  if (request->queue.idempotent) {
+    request->avoid.push_back(request->worker);
+    Retry(request);
+    return;
+  }
+  Finish(request, Doubt(ResultCode::kAnswerLost,
+                        "the request was sent to worker " + request->worker +
+                            " and no whole answer came back"));
+}
+
+void FrontDoor::Retry(Request* request) {
+  const TimePoint now = context_.clock->Now();
+  const bool may_retry =
+      request->attempt < kMostAttempts && now < request->deadline &&
+      retries_.TryRetry(request->submission.queue, request->team);
+  if (may_retry) {
+    context_.counters->Add("retries");
+    const int spread = static_cast<int>(
+        context_.random->Next() %
+        static_cast<std::uint64_t>(kBackoffSpreadMs * request->attempt));
+    request->resume_at =
+        now + kFirstBackoff * request->attempt + Millis(spread);
+    Advance(request, Step::kBackoff);
+    return;
+  }
+  Finish(request, Refuse(ResultCode::kRetriesExhausted,
+                         "no worker took the request", 500));
+}
+
+void FrontDoor::ReturnSlot(Request* request, SlotResult result,
+                           Millis service) {
+  if (request->slot_home.empty()) return;
+  context_.bus->Send(request->slot_home,
+                     SlotDone{.pool = request->queue.pool,
+                              .request_id = request->submission.request_id,
+                              .attempt = request->attempt,
+                              .worker = request->worker,
+                              .result = result,
+                              .service_ms = service.count()});
+  request->slot_home.clear();
+}
+
+void FrontDoor::Finish(Request* request, Answer answer) {
+  if (request->maybe_ran && answer.outcome == Outcome::kNotRun) {
+    // An earlier attempt may have run, whatever stops the request now.
+    answer = Doubt(ResultCode::kAnswerLost,
+                   "an attempt's answer was lost; then: " + answer.text);
+  }
+  if (request->step == Step::kSlot) request->slot_home = request->asked_home;
+  ReturnSlot(request, SlotResult::kUnused, Millis(0));
+  if (request->step == Step::kPlace) {
+    place_queues_[request->team].remove(request->submission.request_id);
+  }
+  if (request->claim_asked && !answer.recorded) RecordOutcome(*request, answer);
+  if (answer.outcome == Outcome::kNotRun && request->claimed) {
+    answer.scope = NotRunScope::kIdempotencyKey;
+  }
+  context_.counters->Add("answers_" +
+                         std::string(NameOf(kOutcomeNames, answer.outcome)));
+  const std::string team = request->team;
+  const bool had_place = request->place_taken;
+  const std::string id = request->submission.request_id;
+  requests_.erase(id);
+  if (had_place) places_.Release(team);
+  dispatcher_->Finish(id, answer);
+  ServeWaiting(team);
+}
+
+void FrontDoor::RecordOutcome(const Request& request, const Answer& answer) {
+  RecordedOutcome outcome{.outcome = static_cast<int>(answer.outcome),
+                          .code = static_cast<int>(answer.code),
+                          .status = answer.status,
+                          .worker = answer.worker};
+  if (answer.outcome == Outcome::kRan) {
+    outcome.digest = DigestOf(answer.body);
+    outcome.body_kept =
+        answer.body.size() <= kRecordedBodyBytes && IsText(answer.body);
+    if (outcome.body_kept) outcome.body = answer.body;
+  }
+  unacked_[request.submission.request_id] = {
+      .done = {.team = request.team,
+               .key = request.submission.idempotency_key,
+               .request_id = request.submission.request_id,
+               .outcome = outcome}};
+  TickUnacked();
+}
+
+void FrontDoor::OnRunChecked(const std::string& request_id, int attempt,
+                             RunState state) {
+  if (state != RunState::kNotRunning) return;
+  const auto it =
+      std::find_if(lost_.begin(), lost_.end(), [&](const LostAttempt& row) {
+        return row.request_id == request_id && row.attempt == attempt;
+      });
+  if (it == lost_.end()) return;
+  const std::string team = it->team;
+  lost_.erase(it);
+  places_.Release(team);
+  ServeWaiting(team);
+}
+
+void FrontDoor::TickRequest(Request* request) {
+  const TimePoint now = context_.clock->Now();
+  const ViewPtr view = context_.views->Current();
+  if (request->step != Step::kDispatched && now >= request->deadline) {
+    Finish(request,
+           Refuse(request->step == Step::kPlace ? ResultCode::kTeamAtLimit
+                                                : ResultCode::kDeadlineExpired,
+                  "the deadline passed before the request could "
+                  "start"));
+    return;
+  }
+  const bool resend = now - request->sent_at >= kResendPeriod;
+  switch (request->step) {
+    case Step::kParked:
+      if (view->intent != nullptr &&
+          view->heard_version > view->intent->version) {
+        return;
+      }
+      if (request->queue.idempotent) {
+        WaitForPlace(request);
+        return;
+      }
+      Advance(request, Step::kLookup);
+      AskLookup(request);
+      return;
+    case Step::kLookup:
+    case Step::kClaim:
+      if (resend || HomeFor(*request) != request->asked_home) {
+        AskLookup(request);
+      }
+      return;
+    case Step::kSlot:
+      if (resend || HomeFor(*request) != request->asked_home) {
+        AskSlot(request);
+      }
+      return;
+    case Step::kBackoff:
+      if (now < request->resume_at) return;
+      if (request->place_taken) {
+        AskSlot(request);
+      } else {
+        WaitForPlace(request);
+      }
+      return;
+    case Step::kPlace:
+    case Step::kDispatched:
+      return;
+  }
+}
+
+void FrontDoor::TickLost() {
+  const TimePoint now = context_.clock->Now();
+  for (LostAttempt& row : lost_) {
+    if (now < row.next_check) continue;
+    row.next_check = now + kRunCheckPeriod;
+    dispatcher_->CheckRun(row.worker, row.request_id, row.attempt);
+  }
+}
+
+void FrontDoor::TickUnacked() {
+  const TimePoint now = context_.clock->Now();
+  for (std::pair<const std::string, UnackedOutcome>& row : unacked_) {
+    if (now < row.second.next_send) continue;
+    row.second.next_send = now + kOutcomeResend;
+    const ClaimDone& done = row.second.done;
+    context_.bus->Send(
+        HomeOrSelf(context_, ClaimSubject(ClaimBucketOf(done.team, done.key))),
+        done);
+  }
+}
+
+void FrontDoor::AnnounceHeldSlots() {
+  const TimePoint now = context_.clock->Now();
+  for (std::pair<const std::string, Request>& row : requests_) {
+    Request& request = row.second;
+    if (request.slot_home.empty()) continue;
+    const std::string home =
+        HomeOrSelf(context_, SlotSubject(request.queue.pool));
+    if (home == request.slot_home) continue;
+    request.slot_home = home;
+    context_.bus->Send(
+        home, SlotHeld{.pool = request.queue.pool,
+                       .request_id = request.submission.request_id,
+                       .attempt = request.attempt,
+                       .team = request.team,
+                       .worker = request.worker,
+                       .hold_ms = Remaining(request.deadline, now).count()});
+  }
+}
+
+void FrontDoor::OnTick() {
+  places_.OnTick();
+  AnnounceHeldSlots();
+  std::vector<std::string> ids;
+  ids.reserve(requests_.size());
+  for (const std::pair<const std::string, Request>& row : requests_) {
+    ids.push_back(row.first);
+  }
+  for (const std::string& id : ids) {
+    const auto it = requests_.find(id);
+    if (it != requests_.end()) TickRequest(&it->second);
+  }
+  std::vector<std::string> teams;
+  for (const std::pair<const std::string, std::list<std::string>>& row :
+       place_queues_) {
+    teams.push_back(row.first);
+  }
+  for (const std::string& team : teams) ServeWaiting(team);
+  TickLost();
+  TickUnacked();
+}
+
+}  // namespace basilusher
--- /dev/null
+++ b/lib/Control/Journal.cc
@@ -0,0 +1,309 @@
+// Group commit, sealing and recovery of a journal.
+#include "basilusher/Control/Journal.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace basilusher {
+namespace {
+
+constexpr int kRecordIdDigits = 16;
+constexpr Millis kLazyPeriod{300};
+/// Least time between two attempts to read a journal that can't be read.
+constexpr Millis kLoadBackoff{250};
+/// A writer that was silent for longer reads the whole journal again, since
+/// segments that it knows may have been deleted.
+constexpr Millis kFullReadAfter{3600000};
+
+std::string SegmentKey(const std::string& prefix, std::int64_t number) {
+  std::string digits = std::to_string(number);
+  constexpr std::size_t kWidth = 10;
+  digits.insert(0, kWidth - std::min(kWidth, digits.size()), '0');
+  return prefix + digits;
+}
+
+}  // namespace
+
+Journal::Journal(Context context, JournalOptions options, ApplyRecord apply)
+    : context_(std::move(context)),
+      options_(std::move(options)),
+      apply_(std::move(apply)) {}
+
+void Journal::Load() {
+  const TimePoint now = context_.clock->Now();
+  if (busy_ || now < next_load_) return;
+  next_load_ = now + kLoadBackoff;
+  busy_ = true;
+  if (complete_once_ && now - last_read_ < kFullReadAfter) {
+    ReadTail();
+    return;
+  }
+  context_.store->List(StorePurpose::kClaim, options_.prefix,
+                       [this](const StoreReply& reply) { OnLoaded(reply); });
+}
+
+void Journal::ReadTail() {
+  context_.store->Get(StorePurpose::kClaim,
+                      SegmentKey(options_.prefix, tail_number_),
+                      [this](const StoreReply& reply) { OnTailRead(reply); });
+}
+
+void Journal::OnTailRead(const StoreReply& reply) {
+  if (reply.status == StoreStatus::kUnavailable) {
+    busy_ = false;
+    return;
+  }
+  if (reply.status == StoreStatus::kOk) {
+    const std::int64_t number = tail_number_;
+    ApplySegment(reply.entries.front());
+    if (tail_number_ != number) {
+      // That segment was sealed by another writer: the next one may exist.
+      ReadTail();
+      return;
+    }
+  }
+  busy_ = false;
+  loaded_ = true;
+  next_load_ = {};
+  last_read_ = context_.clock->Now();
+  SettlePending();
+  StartWrite();
+}
+
+void Journal::OnLoaded(const StoreReply& reply) {
+  busy_ = false;
+  if (reply.status != StoreStatus::kOk) return;
+  sealed_.clear();
+  tail_ = Json::array();
+  tail_version_ = 0;
+  tail_bytes_ = 0;
+  for (const StoreEntry& entry : reply.entries) ApplySegment(entry);
+  loaded_ = true;
+  complete_once_ = true;
+  next_load_ = {};
+  last_read_ = context_.clock->Now();
+  SettlePending();
+  StartWrite();
+}
+
+void Journal::ApplySegment(const StoreEntry& entry) {
+  const Json segment = Json::parse(entry.value);
+  const std::int64_t number = segment.at("number").get<std::int64_t>();
+  for (const Json& record : segment.at("records")) ApplyNew(record);
+  if (segment.at("sealed").get<bool>()) {
+    sealed_.push_back({number, entry.version,
+                       segment.at("sealedMicros").get<std::int64_t>()});
+    tail_number_ = std::max(tail_number_, number + 1);
+    tail_ = Json::array();
+    tail_bytes_ = 0;
+    tail_version_ = 0;
+    return;
+  }
+  tail_number_ = number;
+  tail_version_ = entry.version;
+  tail_ = segment.at("records");
+  tail_bytes_ = entry.value.size();
+}
+
+void Journal::ApplyNew(const Json& record) {
+  if (!applied_.insert(record.at("id").get<std::string>()).second) return;
+  apply_(record);
+}
+
+void Journal::Append(Json record, Precondition precondition, AppendDone done) {
+  const std::string id = RandomHex(context_.random, kRecordIdDigits);
+  record["id"] = id;
+  pending_.push_back({.id = id,
+                      .record = std::move(record),
+                      .precondition = std::move(precondition),
+                      .done = std::move(done),
+                      .since = context_.clock->Now()});
+  if (!loaded_) {
+    Load();
+    return;
+  }
+  StartWrite();
+}
+
+void Journal::AppendLazily(Json record, AppendDone done) {
+  const std::string id = RandomHex(context_.random, kRecordIdDigits);
+  record["id"] = id;
+  pending_.push_back({.id = id,
+                      .record = std::move(record),
+                      .precondition = [] { return true; },
+                      .done = std::move(done),
+                      .since = context_.clock->Now(),
+                      .lazy = true});
+}
+
+void Journal::OnTick() {
+  GiveUpOverdue();
+  if (pending_.empty()) return;
+  if (!loaded_) {
+    Load();
+    return;
+  }
+  StartWrite();
+}
+
+std::vector<Journal::PendingRecord*> Journal::ChooseBatch() {
+  std::vector<PendingRecord*> batch;
+  bool hurry = false;
+  const TimePoint now = context_.clock->Now();
+  std::size_t bytes = 0;
+  for (PendingRecord& row : pending_) {
+    hurry = hurry || !row.lazy || now - row.since >= kLazyPeriod;
+    bytes += row.record.dump().size();
+    batch.push_back(&row);
+    if (bytes >= options_.segment_bytes) break;
+  }
+  if (!hurry) batch.clear();
+  return batch;
+}
+
+void Journal::RejectStale() {
+  std::vector<AppendDone> rejected;
+  for (auto it = pending_.begin(); it != pending_.end();) {
+    if (it->precondition()) {
+      ++it;
+      continue;
+    }
+    rejected.push_back(std::move(it->done));
+    it = pending_.erase(it);
+  }
+  for (const AppendDone& done : rejected) done(AppendResult::kRejected);
+}
+
+void Journal::StartWrite() {
+  if (busy_ || !loaded_ || pending_.empty()) return;
+  if (context_.clock->Now() - last_write_ < options_.write_period) return;
+  // Preconditions are checked against all records read so far; the swap fails
+  // if another writer added one since.
+  RejectStale();
+  if (busy_ || !loaded_) return;
+  const std::vector<PendingRecord*> batch = ChooseBatch();
+  if (!batch.empty()) SendBatch(batch);
+}
+
+void Journal::SendBatch(const std::vector<PendingRecord*>& batch) {
+  busy_ = true;
+  last_write_ = context_.clock->Now();
+  writing_.clear();
+  std::size_t bytes = tail_bytes_;
+  for (PendingRecord* row : batch) {
+    row->in_doubt = true;
+    writing_.push_back(row->record);
+    bytes += row->record.dump().size();
+  }
+  writing_seals_ = bytes >= options_.segment_bytes;
+  const SwapRequest request{.key = SegmentKey(options_.prefix, tail_number_),
+                            .expected_version = tail_version_,
+                            .value = SegmentJson(writing_seals_).dump()};
+  context_.counters->Add("journal_writes");
+  context_.counters->Add("journal_records",
+                         static_cast<std::int64_t>(batch.size()));
+  context_.store->Swap(StorePurpose::kClaim, request,
+                       [this](const StoreReply& reply) { OnSwapped(reply); });
+}
+
+Json Journal::SegmentJson(bool seal) const {
+  Json records = tail_;
+  for (const Json& record : writing_) records.push_back(record);
+  return {{"number", tail_number_},
+          {"sealed", seal},
+          {"sealedMicros", seal ? WallMicros() : 0},
+          {"records", std::move(records)}};
+}
+
+void Journal::OnSwapped(const StoreReply& reply) {
+  busy_ = false;
+  if (reply.status != StoreStatus::kOk) {
+    // Whether the swap took effect is settled by reading the segment back.
+    context_.counters->Add("journal_rereads");
+    loaded_ = false;
+    Load();
+    return;
+  }
+  last_read_ = context_.clock->Now();
+  const std::vector<Json> written = std::move(writing_);
+  writing_.clear();
+  tail_version_ = reply.version;
+  for (const Json& record : written) {
+    tail_.push_back(record);
+    tail_bytes_ += record.dump().size();
+  }
+  if (writing_seals_) {
+    sealed_.push_back({tail_number_, reply.version, WallMicros()});
+    ++tail_number_;
+    tail_ = Json::array();
+    tail_bytes_ = 0;
+    tail_version_ = 0;
+  }
+  for (const Json& record : written) ApplyNew(record);
+  SettlePending();
+}
+
+void Journal::SettlePending() {
+  std::vector<AppendDone> committed;
+  for (auto it = pending_.begin(); it != pending_.end();) {
+    if (!applied_.contains(it->id)) {
+      // A reload after the swap didn't show it: that swap can't apply any more
+      // if the segment moved on, and is simply sent again if it did not.
+      ++it;
+      continue;
+    }
+    committed.push_back(std::move(it->done));
+    it = pending_.erase(it);
+  }
+  ForgetSealed();
+  for (const AppendDone& done : committed) done(AppendResult::kCommitted);
+}
+
+void Journal::ForgetSealed() {
+  if (applied_segment_ == tail_number_) return;
+  applied_segment_ = tail_number_;
+  applied_.clear();
+  for (const Json& record : tail_) {
+    applied_.insert(record.at("id").get<std::string>());
+  }
+}
+
+void Journal::GiveUpOverdue() {
+  const TimePoint now = context_.clock->Now();
+  std::vector<std::pair<AppendDone, AppendResult>> overdue;
+  for (auto it = pending_.begin(); it != pending_.end();) {
+    if (it->lazy || now - it->since < options_.append_timeout) {
+      ++it;
+      continue;
+    }
+    overdue.emplace_back(std::move(it->done), it->in_doubt
+                                                  ? AppendResult::kUnknown
+                                                  : AppendResult::kNotWritten);
+    it = pending_.erase(it);
+  }
+  for (const std::pair<AppendDone, AppendResult>& row : overdue) {
+    row.first(row.second);
+  }
+}
+
+void Journal::ExpireSegments(Millis retention) {
+  if (!loaded_ || busy_) return;
+  const std::int64_t limit =
+      WallMicros() -
+      std::chrono::duration_cast<std::chrono::microseconds>(retention).count();
+  for (auto it = sealed_.begin(); it != sealed_.end();) {
+    if (it->sealed_micros > limit) {
+      ++it;
+      continue;
+    }
+    context_.store->Swap(StorePurpose::kBackground,
+                         {.key = SegmentKey(options_.prefix, it->number),
+                          .expected_version = it->version,
+                          .erase = true},
+                         [](const StoreReply& /*reply*/) {});
+    it = sealed_.erase(it);
+  }
+}
+
+}  // namespace basilusher
--- /dev/null
+++ b/lib/Control/PlaceHolder.cc
@@ -0,0 +1,182 @@
+// Possession of places and the holder's side of the protocol.
+#include "basilusher/Control/PlaceHolder.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace basilusher {
+namespace {
+
+/// An ask without an answer is sent again after this time.
+constexpr Millis kAskTimeout{150};
+/// Least time between two asks while places are short.
+constexpr Millis kAskPeriod{50};
+/// Idle places are given back after this time.
+constexpr Millis kIdleReturn{1000};
+/// Places held beyond the present use, for the next arrivals.
+constexpr int kHeadroom = 1;
+/// An answer that comes later after its ask than this is not taken.
+constexpr Millis kAnswerTimeout{2000};
+
+}  // namespace
+
+PlaceHolder::PlaceHolder(Context context) : context_(std::move(context)) {}
+
+int PlaceHolder::LimitOf(const std::string& team) const {
+  const ViewPtr view = context_.views->Current();
+  if (view->intent == nullptr) return 0;
+  const auto it = view->intent->teams.find(team);
+  return it == view->intent->teams.end() ? 0 : it->second.limit;
+}
+
+int PlaceHolder::Usable(const std::string& team,
+                        const TeamPlaces& places) const {
+  const int limit = LimitOf(team);
+  int usable = places.ceiling;
+  // All ceilings given under one basis add up to at most that basis, so scaled
+  // down by limit/basis they add up to at most a lowered limit, without a word
+  // from the home.
+  if (limit < places.basis) usable = places.ceiling * limit / places.basis;
+  return std::min({usable, places.target, limit});
+}
+
+bool PlaceHolder::TryTake(const std::string& team) {
+  TeamPlaces& places = teams_[team];
+  places.busy_until = context_.clock->Now() + kIdleReturn;
+  if (places.in_use >= Usable(team, places)) return false;
+  ++places.in_use;
+  assert(places.in_use <= places.ceiling && "use stays under the ceiling");
+  return true;
+}
+
+void PlaceHolder::Release(const std::string& team) {
+  TeamPlaces& places = teams_[team];
+  assert(places.in_use > 0 && "only taken places are released");
+  --places.in_use;
+  if (places.target < places.ceiling) Lower(&places, places.target);
+}
+
+void PlaceHolder::SetWaiting(const std::string& team, int waiting) {
+  TeamPlaces& places = teams_[team];
+  places.waiting = waiting;
+  if (waiting == 0) return;
+  const TimePoint now = context_.clock->Now();
+  places.busy_until = now + kIdleReturn;
+  const bool due = !places.asked && now - places.asked_at >= kAskPeriod;
+  if (due && places.in_use + waiting > Usable(team, places)) {
+    Ask(team, &places);
+  }
+}
+
+bool PlaceHolder::StillAllowed(const std::string& team) const {
+  const auto it = teams_.find(team);
+  if (it == teams_.end()) return false;
+  const int limit = LimitOf(team);
+  int usable = it->second.ceiling;
+  if (limit < it->second.basis) usable = usable * limit / it->second.basis;
+  return it->second.in_use <= usable;
+}
+
+int PlaceHolder::InUse(const std::string& team) const {
+  const auto it = teams_.find(team);
+  return it == teams_.end() ? 0 : it->second.in_use;
+}
+
+int PlaceHolder::Ceiling(const std::string& team) const {
+  const auto it = teams_.find(team);
+  return it == teams_.end() ? 0 : it->second.ceiling;
+}
+
+void PlaceHolder::Lower(TeamPlaces* places, int ceiling) {
+  places->ceiling =
+      std::min(places->ceiling, std::max(ceiling, places->in_use));
+}
+
+void PlaceHolder::Ask(const std::string& team, TeamPlaces* places) {
+  std::string home = places->home.instance;
+  const ViewPtr view = context_.views->Current();
+  if (!view->entries.contains(home)) {
+    home = HomeOrSelf(context_, "places/" + team);
+  }
+  // From here on no answer to an earlier ask is taken, so the ceiling stated
+  // is exact.
+  ++places->sequence;
+  places->asked = true;
+  places->asked_at = context_.clock->Now();
+  const int wanted =
+      std::max(places->in_use + places->waiting,
+               std::min(places->in_use + kHeadroom, places->ceiling));
+  context_.bus->Send(home, PlaceAsk{.team = team,
+                                    .term = places->term,
+                                    .sequence = places->sequence,
+                                    .ceiling = places->ceiling,
+                                    .basis = places->basis,
+                                    .in_use = places->in_use,
+                                    .wanted = wanted});
+}
+
+void PlaceHolder::OnMessage(const PeerId& from, const Message& message) {
+  if (const PlaceAnswer* answer = std::get_if<PlaceAnswer>(&message)) {
+    OnAnswer(from, *answer);
+  }
+  if (const PlaceTerm* term = std::get_if<PlaceTerm>(&message)) OnTerm(*term);
+  if (const PlaceRecall* recall = std::get_if<PlaceRecall>(&message)) {
+    OnRecall(*recall);
+  }
+}
+
+void PlaceHolder::OnAnswer(const PeerId& from, const PlaceAnswer& answer) {
+  TeamPlaces& places = teams_[answer.team];
+  if (answer.term != places.term || from != places.home) return;
+  if (!places.asked || answer.sequence != places.sequence) return;
+  places.asked = false;
+  if (context_.clock->Now() - places.asked_at > kAnswerTimeout) return;
+  // A home never takes places away by an answer.
+  if (answer.ceiling < places.in_use) return;
+  places.ceiling = answer.ceiling;
+  places.basis = answer.basis;
+  places.target = answer.ceiling;
+}
+
+void PlaceHolder::OnTerm(const PlaceTerm& term) {
+  TeamPlaces& places = teams_[term.team];
+  if (term.term < places.term) return;
+  places.term = term.term;
+  places.home = term.home;
+  // The report acknowledges the term: answers of older terms are void.
+  Ask(term.team, &places);
+}
+
+void PlaceHolder::OnRecall(const PlaceRecall& recall) {
+  TeamPlaces& places = teams_[recall.team];
+  if (recall.term != places.term || recall.lower_to >= places.ceiling) return;
+  places.target = recall.lower_to;
+  Lower(&places, recall.lower_to);
+  Ask(recall.team, &places);
+}
+
+void PlaceHolder::OnTick() {
+  const TimePoint now = context_.clock->Now();
+  for (std::pair<const std::string, TeamPlaces>& row : teams_) {
+    TeamPlaces& places = row.second;
+    if (places.asked && now - places.asked_at >= kAskTimeout) {
+      Ask(row.first, &places);
+      continue;
+    }
+    if (places.asked || now - places.asked_at < kAskPeriod) continue;
+    const int needed = places.in_use + places.waiting;
+    if (needed > Usable(row.first, places)) {
+      Ask(row.first, &places);
+      continue;
+    }
+    const int kept = places.in_use + kHeadroom;
+    if (now >= places.busy_until && places.ceiling > kept - kHeadroom) {
+      places.target = places.in_use;
+      Lower(&places, places.in_use);
+      Ask(row.first, &places);
+    }
+  }
+}
+
+}  // namespace basilusher
--- /dev/null
+++ b/lib/Control/PlaceHome.cc
@@ -0,0 +1,305 @@
+// Take-over, announcements and recalls of places.
+#include "basilusher/Control/PlaceHome.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace basilusher {
+namespace {
+
+/// Whether the platform shows that this run is over: the instance runs again or
+/// is no longer listed. Silence and a lapsed lease prove nothing.
+bool MayBeGone(const ClusterView& view, const PeerId& holder) {
+  const auto it = view.entries.find(holder.instance);
+  if (it != view.entries.end()) {
+    return it->second.incarnation > holder.incarnation;
+  }
+  return !view.listed_entries.empty() &&
+         !view.listed_entries.contains(holder.instance);
+}
+
+constexpr Millis kReadPeriod{500};
+constexpr Millis kAnnouncePeriod{250};
+constexpr Millis kRecallPeriod{100};
+constexpr Millis kSurveyPeriod{1000};
+/// Period after which single remaining places go to other holders.
+constexpr Millis kRotationPeriod{400};
+
+std::string PlaceSubject(const std::string& team) { return "places/" + team; }
+
+}  // namespace
+
+std::string PlaceKey(const std::string& team) { return "places/" + team; }
+
+PlaceHome::PlaceHome(Context context, WorkerSurvey* survey)
+    : context_(std::move(context)), survey_(survey) {}
+
+std::int64_t PlaceHome::TermOf(const std::string& team) const {
+  const PlaceLedger* ledger = LedgerOf(team);
+  return ledger == nullptr ? 0 : ledger->Record().term;
+}
+
+const PlaceLedger* PlaceHome::LedgerOf(const std::string& team) const {
+  const auto it = teams_.find(team);
+  return it == teams_.end() ? nullptr : it->second.ledger.get();
+}
+
+bool PlaceHome::HomeIsAlive(const PlaceRecord& record) const {
+  const ViewPtr view = context_.views->Current();
+  // A home that can't be heard may be heard by others: only the end of its
+  // lease or a planned stop lets another entry try.
+  const auto leased = view->leased.find(record.home.instance);
+  if (leased != view->leased.end() &&
+      leased->second.incarnation == record.home.incarnation) {
+    return true;
+  }
+  const auto heard = view->entries.find(record.home.instance);
+  return heard != view->entries.end() &&
+         heard->second.incarnation == record.home.incarnation;
+}
+
+bool PlaceHome::ShouldTake(const std::string& team,
+                           const TeamState& state) const {
+  if (standing_down_) return false;
+  const ViewPtr view = context_.views->Current();
+  if (HomeOf(*view, PlaceSubject(team)) != context_.self.instance) return false;
+  return !state.known || !HomeIsAlive(*state.known) ||
+         state.known->home == context_.Self();
+}
+
+void PlaceHome::OnTick() {
+  const ViewPtr view = context_.views->Current();
+  if (view->intent == nullptr) return;
+  const TimePoint now = context_.clock->Now();
+  for (const std::pair<const std::string, TeamIntent>& row :
+       view->intent->teams) {
+    TeamState& state = teams_[row.first];
+    if (state.ledger != nullptr) {
+      TickHome(row.first, &state);
+      continue;
+    }
+    if (state.busy || now < state.next_read || !ShouldTake(row.first, state)) {
+      continue;
+    }
+    state.next_read = now + kReadPeriod;
+    ReadRecord(row.first);
+  }
+}
+
+void PlaceHome::ReadRecord(const std::string& team) {
+  teams_[team].busy = true;
+  context_.store->Get(StorePurpose::kPlace, PlaceKey(team),
+                      [this, team](const StoreReply& reply) {
+                        teams_[team].busy = false;
+                        OnRecordRead(team, reply);
+                      });
+}
+
+void PlaceHome::OnRecordRead(const std::string& team, const StoreReply& reply) {
+  TeamState& state = teams_[team];
+  if (reply.status == StoreStatus::kUnavailable) return;
+  if (reply.status == StoreStatus::kNotFound) {
+    state.known.reset();
+    state.version = 0;
+  } else {
+    state.known = Json::parse(reply.entries.front().value).get<PlaceRecord>();
+    state.version = reply.entries.front().version;
+  }
+  if (state.ledger == nullptr && ShouldTake(team, state)) TakeOver(team);
+}
+
+void PlaceHome::TakeOver(const std::string& team) {
+  TeamState& state = teams_[team];
+  PlaceRecord wanted =
+      state.known.value_or(PlaceRecord{.team = team, .term = 0});
+  ++wanted.term;
+  wanted.home = context_.Self();
+  const ViewPtr view = context_.views->Current();
+  if (!state.known) {
+    const auto it = view->intent->teams.find(team);
+    wanted.basis = it == view->intent->teams.end() ? 0 : it->second.limit;
+  }
+  state.busy = true;
+  context_.store->Swap(StorePurpose::kPlace,
+                       {.key = PlaceKey(team),
+                        .expected_version = state.version,
+                        .value = Json(wanted).dump()},
+                       [this, team, wanted](const StoreReply& reply) {
+                         teams_[team].busy = false;
+                         OnTaken(team, wanted, reply);
+                       });
+}
+
+void PlaceHome::OnTaken(const std::string& team, const PlaceRecord& wanted,
+                        const StoreReply& reply) {
+  TeamState& state = teams_[team];
+  // After a lost answer the record is read again; if it names this entry the
+  // next term is taken, so that no term is ever served from two accounts.
+  if (reply.status != StoreStatus::kOk) return;
+  state.known = wanted;
+  state.version = reply.version;
+  state.ledger = std::make_unique<PlaceLedger>(wanted);
+  state.next_announcement = {};
+  context_.counters->Add("place_takeovers");
+  TickHome(team, &state);
+}
+
+void PlaceHome::TickHome(const std::string& team, TeamState* state) {
+  const ViewPtr view = context_.views->Current();
+  const auto it = view->intent->teams.find(team);
+  state->ledger->SetLimit(it == view->intent->teams.end() ? 0
+                                                          : it->second.limit);
+  UpdateRecord(team, state);
+  if (state->ledger == nullptr) return;
+  Announce(team, state);
+  SendRecalls(state);
+  SurveyGone(team, state);
+}
+
+void PlaceHome::UpdateRecord(const std::string& team, TeamState* state) {
+  if (state->busy) return;
+  const ViewPtr view = context_.views->Current();
+  std::vector<std::string> holders;
+  for (const std::pair<const std::string, EntryInfo>& row : view->entries) {
+    holders.push_back(ToString({row.first, row.second.incarnation}));
+  }
+  const PlaceRecord wanted = state->ledger->WantedRecord(holders);
+  const PlaceRecord& record = state->ledger->Record();
+  const TimePoint now = context_.clock->Now();
+  if (wanted.ceilings == record.ceilings && wanted.basis == record.basis) {
+    return;
+  }
+  if (now < state->next_read) return;
+  state->next_read = now + kReadPeriod;
+  state->busy = true;
+  state->ledger->BeginRecord(wanted);
+  context_.store->Swap(StorePurpose::kPlace,
+                       {.key = PlaceKey(team),
+                        .expected_version = state->version,
+                        .value = Json(wanted).dump()},
+                       [this, team, wanted](const StoreReply& reply) {
+                         teams_[team].busy = false;
+                         OnUpdated(team, wanted, reply);
+                       });
+}
+
+void PlaceHome::OnUpdated(const std::string& team, const PlaceRecord& wanted,
+                          const StoreReply& reply) {
+  TeamState& state = teams_[team];
+  if (state.ledger == nullptr) return;
+  switch (reply.status) {
+    case StoreStatus::kOk:
+      state.version = reply.version;
+      state.known = wanted;
+      state.ledger->SetRecord(wanted);
+      return;
+    case StoreStatus::kUnavailable:
+      // Nothing was written; the ledger stays cautious until a later write.
+      state.ledger->SetRecord(state.ledger->Record());
+      return;
+    case StoreStatus::kConflict:
+    case StoreStatus::kAnswerLost:
+    case StoreStatus::kNotFound:
+      // Another home took the team, or it is not known what is recorded.
+      StepDown(&state);
+      ReadRecord(team);
+      return;
+  }
+}
+
+void PlaceHome::StepDown(TeamState* state) {
+  state->ledger.reset();
+  context_.counters->Add("place_stepdowns");
+}
+
+void PlaceHome::Announce(const std::string& team, TeamState* state) {
+  const TimePoint now = context_.clock->Now();
+  if (now < state->next_announcement) return;
+  state->next_announcement = now + kAnnouncePeriod;
+  const ViewPtr view = context_.views->Current();
+  const PlaceTerm term{.team = team,
+                       .term = state->ledger->Record().term,
+                       .home = context_.Self()};
+  const std::vector<std::string> unreported = state->ledger->Unreported();
+  for (const std::pair<const std::string, EntryInfo>& row : view->entries) {
+    const std::string name = ToString({row.first, row.second.incarnation});
+    if (std::find(unreported.begin(), unreported.end(), name) ==
+        unreported.end()) {
+      continue;
+    }
+    context_.bus->Send(row.first, term);
+  }
+}
+
+void PlaceHome::SendRecalls(TeamState* state) {
+  const TimePoint now = context_.clock->Now();
+  if (now < state->next_recall) return;
+  state->next_recall = now + kRecallPeriod;
+  const std::int64_t rotation =
+      now.time_since_epoch().count() / kRotationPeriod.count();
+  for (const std::pair<PeerId, PlaceRecall>& row :
+       state->ledger->Recalls(rotation)) {
+    context_.bus->Send(row.first.instance, row.second);
+  }
+}
+
+void PlaceHome::SurveyGone(const std::string& team, TeamState* state) {
+  const TimePoint now = context_.clock->Now();
+  if (now < state->next_survey) return;
+  state->next_survey = now + kSurveyPeriod;
+  const ViewPtr view = context_.views->Current();
+  const std::int64_t term = state->ledger->Record().term;
+  for (const std::pair<const std::string, int>& row :
+       state->ledger->Record().ceilings) {
+    const std::size_t mark = row.first.rfind('#');
+    const PeerId holder{row.first.substr(0, mark),
+                        std::stoll(row.first.substr(mark + 1))};
+    if (!MayBeGone(*view, holder)) continue;
+    survey_->ProveGone(holder, [this, team, term, name = row.first](bool gone) {
+      TeamState& current = teams_[team];
+      if (!gone || TermOf(team) != term) return;
+      current.ledger->Remove(name);
+      context_.counters->Add("place_holders_removed");
+    });
+  }
+}
+
+void PlaceHome::OnMessage(const PeerId& from, const Message& message) {
+  if (const PlaceAsk* ask = std::get_if<PlaceAsk>(&message)) OnAsk(from, *ask);
+  if (const PlaceTerm* term = std::get_if<PlaceTerm>(&message)) OnTerm(*term);
+}
+
+void PlaceHome::OnTerm(const PlaceTerm& term) {
+  TeamState& state = teams_[term.team];
+  if (state.ledger == nullptr || state.ledger->Record().term >= term.term) {
+    return;
+  }
+  StepDown(&state);
+}
+
+void PlaceHome::OnAsk(const PeerId& from, const PlaceAsk& ask) {
+  TeamState& state = teams_[ask.team];
+  if (state.ledger == nullptr) {
+    if (!state.known || state.known->home == context_.Self()) return;
+    context_.bus->Send(from.instance, PlaceTerm{.team = ask.team,
+                                                .term = state.known->term,
+                                                .home = state.known->home});
+    return;
+  }
+  const std::int64_t term = state.ledger->Record().term;
+  if (ask.term > term) {
+    StepDown(&state);
+    return;
+  }
+  if (ask.term < term) {
+    context_.bus->Send(
+        from.instance,
+        PlaceTerm{.team = ask.team, .term = term, .home = context_.Self()});
+    return;
+  }
+  const std::optional<PlaceAnswer> answer = state.ledger->OnAsk(from, ask);
+  if (answer) context_.bus->Send(from.instance, *answer);
+}
+
+}  // namespace basilusher
--- /dev/null
+++ b/lib/Standin/WorkerServer.cc
@@ -0,0 +1,132 @@
+// Stand-in of a worker over HTTP.
+#include <mutex>
+
+#include "StandinHttp.h"
+#include "basilusher/Standin/Servers.h"
+#include "basilusher/Standin/WorkerCore.h"
+#include "basilusher/Support/Digest.h"
+
+namespace basilusher {
+namespace {
+
+constexpr char kWorkPrefix[] = "work=";
+constexpr int kNotRunStatus = 429;
+constexpr int kLongestWorkMs = 600000;
+
+std::string FirstLine(const std::string& body) {
+  constexpr std::size_t kMostTagBytes = 200;
+  return body.substr(0, std::min(body.find('\n'), kMostTagBytes));
+}
+
+/// Milliseconds stated at the start of the body; zero without a statement.
+int WorkMillis(const std::string& tag) {
+  const std::string prefix = kWorkPrefix;
+  if (tag.compare(0, prefix.size(), prefix) != 0) return 0;
+  return std::min(std::atoi(tag.c_str() + prefix.size()), kLongestWorkMs);
+}
+
+}  // namespace
+
+class WorkerServer::Impl {
+ public:
+  explicit Impl(const WorkerOptions& options)
+      : info_(options.info),
+        core_(options.info.slots),
+        http_(options.info.connections) {
+    http_.Post(
+        R"(/run/([^/]+))", "run",
+        [this](const httplib::Request& request, httplib::Response& response) {
+          Run(request, &response);
+        });
+    AddBarRoutes();
+    AddTestRoutes();
+  }
+
+  int Start() { return http_.Start(info_.address, info_.port); }
+
+  void Stop() { http_.Stop(); }
+
+ private:
+  void Run(const httplib::Request& request, httplib::Response* response) {
+    const RunRecord run{
+        .request_id = request.matches[1],
+        .attempt = std::atoi(request.get_header_value("X-Attempt").c_str()),
+        .team = request.get_header_value("X-Team"),
+        .holder = request.get_header_value("X-Holder"),
+        .tag = FirstLine(request.body),
+        .started_micros = WallMicros()};
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (!core_.Start(run)) {
+        response->status = kNotRunStatus;
+        response->set_header("X-Not-Run", "1");
+        return;
+      }
+    }
+    const int millis = WorkMillis(run.tag);
+    if (millis > 0) std::this_thread::sleep_for(Millis(millis));
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      core_.Finish(run.request_id, run.attempt, WallMicros());
+    }
+    response->set_header("X-Request-Id", run.request_id);
+    response->set_header("X-Attempt", std::to_string(run.attempt));
+    response->set_header("X-Digest", DigestOf(request.body));
+    response->set_content(request.body, "application/octet-stream");
+  }
+
+  void AddBarRoutes() {
+    http_.Post(
+        "/bar/run", "bar",
+        [this](const httplib::Request& request, httplib::Response& response) {
+          const std::lock_guard<std::mutex> lock(mutex_);
+          const bool running = core_.BarRun(
+              request.get_param_value("request"),
+              std::atoi(request.get_param_value("attempt").c_str()));
+          response.set_content(running ? "1" : "0", "text/plain");
+        });
+    http_.Post(
+        "/bar/holder", "bar",
+        [this](const httplib::Request& request, httplib::Response& response) {
+          const std::lock_guard<std::mutex> lock(mutex_);
+          const int running =
+              core_.BarHolder(request.get_param_value("holder"));
+          response.set_content(std::to_string(running), "text/plain");
+        });
+  }
+
+  void AddTestRoutes() {
+    http_.Server()->Post("/leave", [this](const httplib::Request& /*request*/,
+                                          httplib::Response& /*response*/) {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      core_.Leave();
+    });
+    http_.Server()->Get("/record", [this](const httplib::Request& /*request*/,
+                                          httplib::Response& response) {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      const Json json = {{"worker", info_.id},
+                         {"peak", core_.Peak()},
+                         {"running", core_.Running()},
+                         {"runs", core_.Records()}};
+      response.set_content(
+          json.dump(-1, ' ', false, Json::error_handler_t::replace),
+          "application/json");
+    });
+  }
+
+  WorkerInfo info_;
+  std::mutex mutex_;
+  WorkerCore core_;
+  StandinHttp http_;
+};
+
+WorkerServer::WorkerServer(const WorkerOptions& options)
+    : impl_(std::make_unique<Impl>(options)) {}
+
+WorkerServer::~WorkerServer() = default;
+
+int WorkerServer::Start() { return impl_->Start(); }
+
+void WorkerServer::Stop() { impl_->Stop(); }
+
+}  // namespace basilusher
