Accept, follow and cancel tasks

Tasks are accepted into journals, run under leases at workers and settled by their home when the holder is lost: the worker is asked to stop the run and says whether it ended, was stopped or never started.

--- a/include/basilusher/Client/OperatorCommands.h
+++ b/include/basilusher/Client/OperatorCommands.h
@@ -2,6 +2,7 @@
 #ifndef BASILUSHER_CLIENT_OPERATORCOMMANDS_H_
 #define BASILUSHER_CLIENT_OPERATORCOMMANDS_H_
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -14,7 +15,7 @@
   /// Prints JSON in place of tables.
   bool json = false;
   /// Base version of a publication; negative for the version in force.
-  long long base = -1;
+  std::int64_t base = -1;
   /// Seconds to wait until a change is in force at every entry.
   int wait_seconds = 10;
   /// Trace or request to show.
--- a/include/basilusher/Control/FrontDoor.h
+++ b/include/basilusher/Control/FrontDoor.h
@@ -116,6 +116,8 @@
     Submission submission;
     std::string team;
     QueueIntent queue;
+    /// Whether it may run at most once, so that its key has to be claimed.
+    bool once = false;
     Step step = Step::kParked;
     TimePoint deadline{};
     /// When the present step began or its message was last sent.
--- a/include/basilusher/Control/Journal.h
+++ b/include/basilusher/Control/Journal.h
@@ -33,7 +33,7 @@
   /// A segment of this size is sealed and the next one begun.
   std::size_t segment_bytes = 65536;
   /// Least time between two writes.
-  Millis write_period{20};
+  Millis write_period{25};
   /// Time a record may wait for the store before the append is given up.
   Millis append_timeout{2000};
 };
@@ -56,6 +56,9 @@
   bool Loaded() const { return loaded_; }
   /// Starts reading the journal unless it is loaded or being read.
   void Load();
+  /// Reads records that other writers may have added, unless a call is under
+  /// way.
+  void Refresh();
   /// Queues `record` for the next write. `done` is called exactly once.
   void Append(Json record, Precondition precondition, AppendDone done);
   /// Queues a record without hurry: it goes out with the next write, or alone
--- a/include/basilusher/Daemon/RequestTable.h
+++ b/include/basilusher/Daemon/RequestTable.h
@@ -63,8 +63,16 @@
   using Checker = std::function<void(
       const WorkerInfo& worker, const std::string& request_id, int attempt)>;
 
+  /// Orders and answers of tasks' runs, which no caller's thread waits for.
+  struct TaskHandlers {
+    std::function<void(const DispatchOrder& order)> on_order;
+    std::function<void(const std::string& request_id, const Answer& answer)>
+        on_finished;
+  };
+
   /// `check` asks a worker about an attempt without blocking.
-  explicit RequestTable(Checker check) : check_(std::move(check)) {}
+  RequestTable(Checker check, TaskHandlers tasks)
+      : check_(std::move(check)), tasks_(std::move(tasks)) {}
 
   std::shared_ptr<Exchange> Open(const std::string& request_id);
   void Close(const std::string& request_id);
@@ -78,6 +86,7 @@
   std::shared_ptr<Exchange> Find(const std::string& request_id);
 
   Checker check_;
+  TaskHandlers tasks_;
   std::mutex mutex_;
   std::map<std::string, std::shared_ptr<Exchange>> exchanges_;
 };
--- a/include/basilusher/Daemon/WorkerClient.h
+++ b/include/basilusher/Daemon/WorkerClient.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "basilusher/Control/FrontDoor.h"
+#include "basilusher/Control/TaskHome.h"
 #include "basilusher/Support/Counters.h"
 
 namespace basilusher {
@@ -33,6 +34,15 @@
   /// Asks whether an attempt runs and bars it from starting later.
   RunState CheckRun(const WorkerInfo& worker, const std::string& request_id,
                     int attempt);
+  /// Starts a task's run under a lease; kAnswered if the worker took it.
+  DispatchStatus StartTask(const DispatchOrder& order, const std::string& body,
+                           Millis lease);
+  /// Renews the lease of a task's run.
+  TaskRunReport RenewTask(const WorkerInfo& worker,
+                          const std::string& request_id, Millis lease);
+  /// Stops a task's run and bars it from starting later.
+  TaskRunReport StopTask(const WorkerInfo& worker,
+                         const std::string& request_id);
   /// Runs in progress for `holder` on `worker`, and bars the holder; -1 if the
   /// worker does not answer.
   int BarHolder(const WorkerInfo& worker, const std::string& holder);
--- a/include/basilusher/Standin/WorkerCore.h
+++ b/include/basilusher/Standin/WorkerCore.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "basilusher/Support/Clock.h"
 #include "basilusher/Support/Json.h"
 
 namespace basilusher {
@@ -30,6 +31,9 @@
                                    tag, finished, started_micros,
                                    finished_micros)
 
+/// State of a task's run at its worker.
+enum class WorkerTaskState { kRunning, kDone, kStopped, kNeverStarted };
+
 /// Not thread-safe.
 class WorkerCore {
  public:
@@ -41,6 +45,17 @@
   /// Ends a run that was started.
   void Finish(const std::string& request_id, int attempt,
               std::int64_t finished_micros);
+  /// Starts a task's run of `work` under a lease; false as for Start.
+  bool StartTask(const RunRecord& run, Millis work, Millis lease,
+                 TimePoint now);
+  /// Renews a run's lease and tells its state. A run whose lease ran out was
+  /// stopped.
+  WorkerTaskState RenewTask(const std::string& request_id, Millis lease,
+                            TimePoint now);
+  /// Stops a run, or bars it from starting, and tells its state.
+  WorkerTaskState StopTask(const std::string& request_id, TimePoint now);
+  /// Ends runs that are done and stops those whose lease is over.
+  void AdvanceTasks(TimePoint now);
   /// Bars an attempt from starting; returns whether it runs.
   bool BarRun(const std::string& request_id, int attempt);
   /// Bars a holder; returns its runs in progress.
@@ -56,6 +71,12 @@
 
  private:
   using RunKey = std::pair<std::string, int>;
+  struct Task {
+    int attempt = 0;
+    WorkerTaskState state = WorkerTaskState::kRunning;
+    TimePoint done_at{};
+    TimePoint lease_until{};
+  };
 
   int slots_;
   bool leaving_ = false;
@@ -65,6 +86,9 @@
   std::vector<RunRecord> records_;
   std::set<RunKey> barred_runs_;
   std::set<std::string> barred_holders_;
+  /// Tasks' runs by request.
+  std::map<std::string, Task> tasks_;
+  std::set<std::string> barred_tasks_;
 };
 
 }  // namespace basilusher
--- a/include/basilusher/Support/Clock.h
+++ b/include/basilusher/Support/Clock.h
@@ -3,6 +3,7 @@
 #define BASILUSHER_SUPPORT_CLOCK_H_
 
 #include <chrono>
+#include <cstdint>
 
 namespace basilusher {
 
@@ -29,7 +30,7 @@
 
 /// Microseconds since the Unix epoch, for logs and spans only; no decision is
 /// taken on it. Thread-safe.
-long long WallMicros();
+std::int64_t WallMicros();
 
 }  // namespace basilusher
 
--- a/include/basilusher/Support/Log.h
+++ b/include/basilusher/Support/Log.h
@@ -2,6 +2,7 @@
 #ifndef BASILUSHER_SUPPORT_LOG_H_
 #define BASILUSHER_SUPPORT_LOG_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -37,8 +38,8 @@
   TraceContext context;
   std::string parent_id;
   std::string name;
-  long long start_micros = 0;
-  long long end_micros = 0;
+  std::int64_t start_micros = 0;
+  std::int64_t end_micros = 0;
   Json attributes = Json::object();
 };
 
--- a/lib/Client/OperatorCommands.cc
+++ b/lib/Client/OperatorCommands.cc
@@ -122,11 +122,11 @@
   const CollectedIntent collected = CollectChecked(arguments[1]);
   if (!collected.errors.empty()) return kExitInvalid;
   OperatorClient client = MakeClient(options);
-  long long base = options.base;
+  std::int64_t base = options.base;
   if (base < 0) {
     const OperatorReply current = client.Call("GET", "/operator/intent");
     if (current.status != kStatusOk) return ReportRefusal(current);
-    base = current.body.at("version").get<long long>();
+    base = current.body.at("version").get<std::int64_t>();
   }
   const OperatorReply reply =
       client.Call("POST", "/operator/intent?base=" + std::to_string(base),
@@ -139,7 +139,7 @@
   }
   const std::int64_t version = reply.body.at("version").get<std::int64_t>();
   if (!options.json) {
-    std::printf("version %lld is accepted\n", static_cast<long long>(version));
+    std::printf("version %s is accepted\n", std::to_string(version).c_str());
   }
   const int exit =
       AwaitInForce(&client, options, [version](const Json& status) {
@@ -223,12 +223,12 @@
       exit = kExitUnreachable;
       continue;
     }
-    std::printf("%-22s %-12s %8lld %8lld %8lld %9s %s\n",
+    std::printf("%-22s %-12s %8s %8s %8s %9s %s\n",
                 status.at("entry").get<std::string>().c_str(),
                 status.at("instance").get<std::string>().c_str(),
-                status.at("intentVersion").get<long long>(),
-                status.at("entries").get<long long>(),
-                status.at("workers").get<long long>(),
+                status.at("intentVersion").dump().c_str(),
+                status.at("entries").dump().c_str(),
+                status.at("workers").dump().c_str(),
                 status.at("isolated").get<bool>() ? "yes" : "no",
                 status.at("stopping").get<bool>() ? "yes" : "no");
   }
--- a/lib/Control/FrontDoor.cc
+++ b/lib/Control/FrontDoor.cc
@@ -85,7 +85,9 @@
                       " bytes; expected: at most " +
                       std::to_string(queue->second.max_body_bytes));
   }
-  if (!queue->second.idempotent && submission.idempotency_key.empty()) {
+  // A task's runs are claimed in the tasks' journal.
+  request->once = !queue->second.idempotent && submission.trusted_team.empty();
+  if (request->once && submission.idempotency_key.empty()) {
     return Refuse(ResultCode::kIdempotencyKeyMissing,
                   "Idempotency-Key: found nothing; expected: a key, since "
                   "queue " +
@@ -258,7 +260,7 @@
   Request* request = &it->second;
   request->worker = grant.worker;
   request->slot_home = request->asked_home;
-  if (!request->queue.idempotent && !request->claimed) {
+  if (request->once && !request->claimed) {
     AskClaim(request);
     return;
   }
@@ -377,7 +379,7 @@
                          .attempt = request->attempt,
                          .worker = worker->second,
                          .team = request->team,
-                         .idempotent = request->queue.idempotent,
+                         .idempotent = !request->once,
                          .send_before = now + kSendWindow,
                          .answer_before = request->deadline});
 }
@@ -432,7 +434,7 @@
                    .worker = info});
   request->place_taken = false;
   request->maybe_ran = true;
-  if (request->queue.idempotent) {
+  if (!request->once && request->submission.trusted_team.empty()) {
     request->avoid.push_back(request->worker);
     Retry(request);
     return;
@@ -445,6 +447,7 @@
 void FrontDoor::Retry(Request* request) {
   const TimePoint now = context_.clock->Now();
   const bool may_retry =
+      request->submission.trusted_team.empty() &&
       request->attempt < kMostAttempts && now < request->deadline &&
       retries_.TryRetry(request->submission.queue, request->team);
   if (may_retry) {
@@ -551,7 +554,7 @@
           view->heard_version > view->intent->version) {
         return;
       }
-      if (request->queue.idempotent) {
+      if (!request->once) {
         WaitForPlace(request);
         return;
       }
--- a/lib/Control/Journal.cc
+++ b/lib/Control/Journal.cc
@@ -43,6 +43,12 @@
                        [this](const StoreReply& reply) { OnLoaded(reply); });
 }
 
+void Journal::Refresh() {
+  if (!loaded_ || busy_) return;
+  busy_ = true;
+  ReadTail();
+}
+
 void Journal::ReadTail() {
   context_.store->Get(StorePurpose::kClaim,
                       SegmentKey(options_.prefix, tail_number_),
--- a/lib/Daemon/EntryDaemon.cc
+++ b/lib/Daemon/EntryDaemon.cc
@@ -3,9 +3,11 @@
 
 #include <condition_variable>
 #include <mutex>
+#include <thread>
 #include <utility>
 
 #include "EntryServices.h"
+#include "EntryTasks.h"
 #include "HttpFrontend.h"
 #include "basilusher/Control/ClaimHome.h"
 #include "basilusher/Control/PlaceHome.h"
@@ -144,7 +146,9 @@
     services_.requests = std::make_unique<RequestTable>(
         [this](const WorkerInfo& worker, const std::string& id, int attempt) {
           CheckRun(worker, id, attempt);
-        });
+        },
+        MakeTaskHandlers());
+    services_.tasks = std::make_shared<EntryTasks>(&services_);
     services_.store = std::make_unique<StoreSession>(
         StoreSessionOptions{
             .store = {.address = services_.settings.store_address,
@@ -154,6 +158,25 @@
     survey_ = std::make_unique<PooledSurvey>(&services_);
   }
 
+  RequestTable::TaskHandlers MakeTaskHandlers() {
+    return {.on_order =
+                [this](const DispatchOrder& order) {
+                  services_.directory.Run(
+                      ComponentKind::kTaskHome, [order](Component* component) {
+                        static_cast<TaskHome*>(component)->OnOrder(order);
+                      });
+                },
+            .on_finished =
+                [this](const std::string& id, const Answer& answer) {
+                  services_.directory.Run(
+                      ComponentKind::kTaskHome,
+                      [id, answer](Component* component) {
+                        static_cast<TaskHome*>(component)->OnFinished(id,
+                                                                      answer);
+                      });
+                }};
+  }
+
   void CheckRun(const WorkerInfo& worker, const std::string& id, int attempt) {
     services_.pool->Post([this, worker, id, attempt] {
       const ViewPtr view = services_.views.Current();
@@ -246,6 +269,7 @@
   std::vector<ComponentSpec> Specs() {
     const Context place = ContextFor(ComponentKind::kPlaceHome);
     const Context front = ContextFor(ComponentKind::kFrontDoor);
+    const Context tasks = ContextFor(ComponentKind::kTaskHome);
     return {SpecFor<MembershipAgent>(ComponentKind::kMembership),
             SpecFor<ConfigAgent>(ComponentKind::kConfig),
             SpecFor<SlotHome>(ComponentKind::kSlotHome),
@@ -255,6 +279,14 @@
                  [this, place] {
                    return std::make_unique<PlaceHome>(place, survey_.get());
                  }},
+            {.kind = ComponentKind::kTaskHome,
+             .make =
+                 [this, tasks] {
+                   return std::make_unique<TaskHome>(tasks,
+                                                     services_.tasks.get());
+                 },
+             .tick_period = kClaimTick,
+             .restartable = false},
             {.kind = ComponentKind::kFrontDoor,
              .make =
                  [this, front] {
@@ -319,6 +351,10 @@
         ComponentKind::kFrontDoor, [](Component* component) {
           static_cast<FrontDoor*>(component)->StopAccepting();
         });
+    services_.directory.Run(
+        ComponentKind::kTaskHome, [](Component* component) {
+          static_cast<TaskHome*>(component)->StandDown();
+        });
     const TimePoint give_up =
         services_.clock.Now() + services_.settings.shutdown_timeout;
     bool drained = false;
@@ -326,6 +362,10 @@
       drained = services_.Ask<FrontDoor, bool>(
           ComponentKind::kFrontDoor,
           [](FrontDoor* front) { return front->InProgress() == 0; });
+      drained = drained && services_.Ask<TaskHome, bool>(
+                               ComponentKind::kTaskHome, [](TaskHome* tasks) {
+                                 return tasks->InProgress() == 0;
+                               });
       if (!drained) std::this_thread::sleep_for(kMaintenancePeriod);
     }
     RunMembership([](MembershipAgent* agent) { agent->Leave(); });
--- a/lib/Daemon/EntryServices.h
+++ b/lib/Daemon/EntryServices.h
@@ -7,6 +7,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include "basilusher/Control/ConfigAgent.h"
 #include "basilusher/Control/FrontDoor.h"
@@ -22,6 +23,8 @@
 
 namespace basilusher {
 
+class EntryTasks;
+
 /// Everything that lives as long as the process. Thread-safe parts only, or
 /// parts that are used on their own actor.
 struct EntryServices {
@@ -38,6 +41,7 @@
   std::unique_ptr<WorkerClient> workers;
   std::unique_ptr<RequestTable> requests;
   std::unique_ptr<ThreadPool> pool;
+  std::shared_ptr<EntryTasks> tasks;
   std::atomic<bool> ready{false};
   std::atomic<bool> stopping{false};
 
--- a/lib/Daemon/HttpFrontend.cc
+++ b/lib/Daemon/HttpFrontend.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "OperatorRoutes.h"
+#include "TaskRoutes.h"
 #include "basilusher/Support/Digest.h"
 #include "basilusher/Support/Log.h"
 
@@ -210,6 +211,7 @@
                                    httplib::Response& response) {
       response.set_content(services_->counters.Render(), "text/plain");
     });
+    AddTaskRoutes(&server_, services_);
     AddOperatorRoutes(&server_, services_);
   }
 
--- a/lib/Daemon/RequestTable.cc
+++ b/lib/Daemon/RequestTable.cc
@@ -3,6 +3,8 @@
 
 #include <utility>
 
+#include "basilusher/Control/TaskHome.h"
+
 namespace basilusher {
 
 Instruction Exchange::Next() {
@@ -81,11 +83,19 @@
 }
 
 void RequestTable::Dispatch(const DispatchOrder& order) {
+  if (!TaskOfRequest(order.request_id).empty()) {
+    tasks_.on_order(order);
+    return;
+  }
   const std::shared_ptr<Exchange> exchange = Find(order.request_id);
   if (exchange != nullptr) exchange->Put({.order = order});
 }
 
 void RequestTable::Finish(const std::string& request_id, const Answer& answer) {
+  if (!TaskOfRequest(request_id).empty()) {
+    tasks_.on_finished(request_id, answer);
+    return;
+  }
   const std::shared_ptr<Exchange> exchange = Find(request_id);
   if (exchange != nullptr) exchange->Put({.answer = answer});
 }
--- a/lib/Daemon/WorkerClient.cc
+++ b/lib/Daemon/WorkerClient.cc
@@ -35,6 +35,33 @@
   return response.get_header_value("X-Digest") == DigestOf(response.body);
 }
 
+constexpr int kStartedStatus = 200;
+
+constexpr EnumTable<TaskRunState, 4> kTaskRunNames = {{
+    {TaskRunState::kRunning, "running"},
+    {TaskRunState::kDone, "done"},
+    {TaskRunState::kStopped, "stopped"},
+    {TaskRunState::kNeverStarted, "never-started"},
+}};
+
+/// One call about a task's run.
+TaskRunReport CallTask(const WorkerInfo& worker, const std::string& path,
+                       const httplib::Headers& headers) {
+  httplib::Client client(worker.address, worker.port);
+  client.set_connection_timeout(kCheckTimeout);
+  client.set_read_timeout(kCheckTimeout);
+  const httplib::Result result =
+      client.Post(path, headers, "", "application/octet-stream");
+  if (!result || result->status != kStartedStatus) return {};
+  const Json json =
+      Json::parse(result->body, nullptr, /*allow_exceptions=*/false);
+  if (!json.is_object()) return {};
+  const std::optional<TaskRunState> state =
+      ValueOf(kTaskRunNames, json.value("state", std::string()));
+  if (!state) return {};
+  return {.state = *state, .body = json.value("result", std::string())};
+}
+
 }  // namespace
 
 int ConnectionShare(int connections, int entries) {
@@ -163,6 +190,41 @@
   return result->body == "0" ? RunState::kNotRunning : RunState::kRunning;
 }
 
+DispatchStatus WorkerClient::StartTask(const DispatchOrder& order,
+                                       const std::string& body, Millis lease) {
+  httplib::Client client(order.worker.address, order.worker.port);
+  client.set_connection_timeout(kConnectTimeout);
+  client.set_read_timeout(kCheckTimeout);
+  const httplib::Headers headers{
+      {"X-Holder", holder_},
+      {"X-Team", order.team},
+      {"X-Attempt", std::to_string(order.attempt)},
+      {"X-Lease-Millis", std::to_string(lease.count())}};
+  const httplib::Result result =
+      client.Post("/task/start/" + order.request_id, headers, body,
+                  "application/octet-stream");
+  if (!result) {
+    const bool unreached =
+        result.error() == httplib::Error::Connection ||
+        result.error() == httplib::Error::ConnectionTimeout;
+    return unreached ? DispatchStatus::kUnreachable : DispatchStatus::kLost;
+  }
+  return result->status == kStartedStatus ? DispatchStatus::kAnswered
+                                          : DispatchStatus::kRefused;
+}
+
+TaskRunReport WorkerClient::RenewTask(const WorkerInfo& worker,
+                                      const std::string& request_id,
+                                      Millis lease) {
+  return CallTask(worker, "/task/renew/" + request_id,
+                  {{"X-Lease-Millis", std::to_string(lease.count())}});
+}
+
+TaskRunReport WorkerClient::StopTask(const WorkerInfo& worker,
+                                     const std::string& request_id) {
+  return CallTask(worker, "/task/stop/" + request_id, {});
+}
+
 int WorkerClient::BarHolder(const WorkerInfo& worker,
                             const std::string& holder) {
   httplib::Client client(worker.address, worker.port);
--- a/lib/Standin/WorkerCore.cc
+++ b/lib/Standin/WorkerCore.cc
@@ -26,6 +26,55 @@
   running_.erase(it);
 }
 
+bool WorkerCore::StartTask(const RunRecord& run, Millis work, Millis lease,
+                           TimePoint now) {
+  AdvanceTasks(now);
+  if (barred_tasks_.contains(run.request_id) || !Start(run)) return false;
+  tasks_[run.request_id] = {.attempt = run.attempt,
+                            .done_at = now + work,
+                            .lease_until = now + lease};
+  return true;
+}
+
+void WorkerCore::AdvanceTasks(TimePoint now) {
+  for (std::pair<const std::string, Task>& row : tasks_) {
+    Task& task = row.second;
+    if (task.state != WorkerTaskState::kRunning) continue;
+    if (task.done_at <= std::min(now, task.lease_until)) {
+      task.state = WorkerTaskState::kDone;
+    } else if (task.lease_until <= now) {
+      task.state = WorkerTaskState::kStopped;
+    } else {
+      continue;
+    }
+    Finish(row.first, task.attempt, WallMicros());
+  }
+}
+
+WorkerTaskState WorkerCore::RenewTask(const std::string& request_id,
+                                      Millis lease, TimePoint now) {
+  AdvanceTasks(now);
+  const auto it = tasks_.find(request_id);
+  if (it == tasks_.end()) return WorkerTaskState::kNeverStarted;
+  if (it->second.state == WorkerTaskState::kRunning) {
+    it->second.lease_until = now + lease;
+  }
+  return it->second.state;
+}
+
+WorkerTaskState WorkerCore::StopTask(const std::string& request_id,
+                                     TimePoint now) {
+  AdvanceTasks(now);
+  barred_tasks_.insert(request_id);
+  const auto it = tasks_.find(request_id);
+  if (it == tasks_.end()) return WorkerTaskState::kNeverStarted;
+  if (it->second.state == WorkerTaskState::kRunning) {
+    it->second.state = WorkerTaskState::kStopped;
+    Finish(request_id, it->second.attempt, WallMicros());
+  }
+  return it->second.state;
+}
+
 bool WorkerCore::BarRun(const std::string& request_id, int attempt) {
   const RunKey key{request_id, attempt};
   barred_runs_.insert(key);
--- a/lib/Standin/WorkerServer.cc
+++ b/lib/Standin/WorkerServer.cc
@@ -1,4 +1,5 @@
 // Stand-in of a worker over HTTP.
+#include <array>
 #include <mutex>
 
 #include "StandinHttp.h"
@@ -38,6 +39,7 @@
         [this](const httplib::Request& request, httplib::Response& response) {
           Run(request, &response);
         });
+    AddTaskRoutes();
     AddBarRoutes();
     AddTestRoutes();
   }
@@ -48,13 +50,7 @@
 
  private:
   void Run(const httplib::Request& request, httplib::Response* response) {
-    const RunRecord run{
-        .request_id = request.matches[1],
-        .attempt = std::atoi(request.get_header_value("X-Attempt").c_str()),
-        .team = request.get_header_value("X-Team"),
-        .holder = request.get_header_value("X-Holder"),
-        .tag = FirstLine(request.body),
-        .started_micros = WallMicros()};
+    const RunRecord run = RecordOf(request);
     {
       const std::lock_guard<std::mutex> lock(mutex_);
       if (!core_.Start(run)) {
@@ -75,6 +71,60 @@
     response->set_content(request.body, "application/octet-stream");
   }
 
+  static RunRecord RecordOf(const httplib::Request& request) {
+    return {.request_id = request.matches[1],
+            .attempt = std::atoi(request.get_header_value("X-Attempt").c_str()),
+            .team = request.get_header_value("X-Team"),
+            .holder = request.get_header_value("X-Holder"),
+            .tag = FirstLine(request.body),
+            .started_micros = WallMicros()};
+  }
+
+  void AddTaskRoutes() {
+    http_.Post(R"(/task/start/([^/]+))", "run",
+               [this](const httplib::Request& request,
+                      httplib::Response& response) {
+                 const RunRecord run = RecordOf(request);
+                 const std::lock_guard<std::mutex> lock(mutex_);
+                 if (core_.StartTask(run, Millis(WorkMillis(run.tag)),
+                                     LeaseOf(request), clock_.Now())) {
+                   return;
+                 }
+                 response.status = kNotRunStatus;
+                 response.set_header("X-Not-Run", "1");
+               });
+    http_.Post(R"(/task/renew/([^/]+))", "task",
+               [this](const httplib::Request& request,
+                      httplib::Response& response) {
+                 const std::lock_guard<std::mutex> lock(mutex_);
+                 WriteState(core_.RenewTask(request.matches[1],
+                                            LeaseOf(request), clock_.Now()),
+                            &response);
+               });
+    http_.Post(R"(/task/stop/([^/]+))", "task",
+               [this](const httplib::Request& request,
+                      httplib::Response& response) {
+                 const std::lock_guard<std::mutex> lock(mutex_);
+                 WriteState(core_.StopTask(request.matches[1], clock_.Now()),
+                            &response);
+               });
+  }
+
+  static Millis LeaseOf(const httplib::Request& request) {
+    return Millis(
+        std::atoi(request.get_header_value("X-Lease-Millis").c_str()));
+  }
+
+  static void WriteState(WorkerTaskState state, httplib::Response* response) {
+    constexpr std::array<const char*, 4> kNames = {"running", "done", "stopped",
+                                                   "never-started"};
+    response->set_content(
+        Json{{"state", kNames[static_cast<std::size_t>(state)]},
+             {"result", state == WorkerTaskState::kDone ? "done" : ""}}
+            .dump(),
+        "application/json");
+  }
+
   void AddBarRoutes() {
     http_.Post(
         "/bar/run", "bar",
@@ -104,6 +154,7 @@
     http_.Server()->Get("/record", [this](const httplib::Request& /*request*/,
                                           httplib::Response& response) {
       const std::lock_guard<std::mutex> lock(mutex_);
+      core_.AdvanceTasks(clock_.Now());
       const Json json = {{"worker", info_.id},
                          {"peak", core_.Peak()},
                          {"running", core_.Running()},
@@ -115,6 +166,7 @@
   }
 
   WorkerInfo info_;
+  SteadyClock clock_;
   std::mutex mutex_;
   WorkerCore core_;
   StandinHttp http_;
--- a/lib/Support/Clock.cc
+++ b/lib/Support/Clock.cc
@@ -7,7 +7,7 @@
   return std::chrono::time_point_cast<Millis>(std::chrono::steady_clock::now());
 }
 
-long long WallMicros() {
+std::int64_t WallMicros() {
   return std::chrono::duration_cast<std::chrono::microseconds>(
              std::chrono::system_clock::now().time_since_epoch())
       .count();
--- a/lib/Transport/WebsocketTransport.cc
+++ b/lib/Transport/WebsocketTransport.cc
@@ -120,7 +120,7 @@
   }
 
   void ScheduleRedial() {
-    client_.set_timer(static_cast<long>(kRedialPeriod.count()),
+    client_.set_timer(kRedialPeriod.count(),
                       [this](const websocketpp::lib::error_code& ec) {
                         if (ec || stopped_) return;
                         RedialAll();
--- a/tools/basilusherctl/main.cc
+++ b/tools/basilusherctl/main.cc
@@ -23,7 +23,8 @@
   int json = 0;
   int version = 0;
   int wait_seconds = 10;
-  long long base = -1;
+  /// Type that the command-line library writes to.
+  long long base = -1;  // NOLINT(google-runtime-int)
 };
 
 std::string FromEnvironment(const char* name) {
