--- a/include/basilusher/Standin/Servers.h
+++ b/include/basilusher/Standin/Servers.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "basilusher/Model/ClusterView.h"
+#include "basilusher/Standin/FaultTable.h"
 #include "basilusher/Support/Clock.h"
 #include "basilusher/Support/Json.h"
 
@@ -33,6 +34,8 @@
   /// Error(kTransportFailed).
   int Start();
   void Stop();
+  /// The table of faults, for tests in the same process.
+  FaultTable* Faults();
 
  private:
   class Impl;
--- a/lib/Standin/PlatformServer.cc
+++ b/lib/Standin/PlatformServer.cc
@@ -56,6 +56,8 @@
     return http_.Start(options_.address, options_.port);
   }
 
+  FaultTable* Faults() { return http_.Faults(); }
+
   void Stop() {
     {
       const std::lock_guard<std::mutex> lock(mutex_);
@@ -221,4 +223,6 @@
 
 void PlatformServer::Stop() { impl_->Stop(); }
 
+FaultTable* PlatformServer::Faults() { return impl_->Faults(); }
+
 }  // namespace basilusher
--- /dev/null
+++ b/unittests/Control/Bench.cc
@@ -0,0 +1,584 @@
+// Fakes at the interfaces of the control components.
+#include "Bench.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "basilusher/Support/Digest.h"
+#include "basilusher/Wire/Envelope.h"
+
+namespace basilusher::testing {
+namespace {
+
+constexpr Millis kStep{5};
+constexpr Millis kNetworkDelay{1};
+constexpr Millis kStoreTimeout{1000};
+/// Bound of the brief's "within seconds".
+constexpr Millis kWithdrawalBound{5000};
+constexpr int kSlots = 4;
+constexpr int kLimitB = 6;
+constexpr int kWorkMs = 40;
+constexpr int kLongWorkMs = 2500;
+constexpr Millis kAnswerBound{12000};
+
+/// The store as one node reaches it.
+class FakeStore : public KeyValueStore {
+ public:
+  FakeStore(Bench* bench, Node* node) : bench_(bench), node_(node) {}
+
+  void Get(StorePurpose /*purpose*/, const std::string& key,
+           StoreCallback done) override {
+    Read([this, key] { return bench_->store.Get(key); }, std::move(done));
+  }
+  void List(StorePurpose /*purpose*/, const std::string& prefix,
+            StoreCallback done) override {
+    Read([this, prefix] { return bench_->store.List(prefix); },
+         std::move(done));
+  }
+  void Swap(StorePurpose /*purpose*/, const SwapRequest& request,
+            StoreCallback done) override {
+    Write("swap " + request.key,
+          [this, request] { return bench_->store.Swap(request); },
+          std::move(done));
+  }
+  void KeepLease(const std::string& id, Millis ttl,
+                 StoreCallback done) override {
+    Write("lease",
+          [this, id, ttl] {
+            return bench_->store.KeepLease(id, ttl, bench_->clock.Now());
+          },
+          std::move(done));
+  }
+  void EndLease(const std::string& id, StoreCallback done) override {
+    Write("lease", [this, id] { return bench_->store.EndLease(id); },
+          std::move(done));
+  }
+
+ private:
+  bool Reachable() const { return !bench_->store_down && !node_->store_cut; }
+
+  void Fail(StoreStatus status, const StoreCallback& done) {
+    bench_->ForNode(node_, kStoreTimeout,
+                    [done, status] { done({.status = status}); });
+  }
+
+  void Read(std::function<StoreReply()> read, StoreCallback done) {
+    bench_->At(bench_->store_delay, [this, read, done] {
+      if (!Reachable()) {
+        Fail(StoreStatus::kUnavailable, done);
+        return;
+      }
+      const StoreReply reply = read();
+      bench_->ForNode(node_, kNetworkDelay, [done, reply] { done(reply); });
+    });
+  }
+
+  void Write(const std::string& step, std::function<StoreReply()> write,
+             StoreCallback done) {
+    const Effect effect = bench_->OnStep({step, node_->info.instance});
+    bench_->At(bench_->store_delay + effect.delay, [=, this] {
+      if (!Reachable()) {
+        Fail(StoreStatus::kUnavailable, done);
+        return;
+      }
+      const StoreReply reply = write();
+      if (effect.lose_answer) {
+        Fail(StoreStatus::kAnswerLost, done);
+        return;
+      }
+      bench_->ForNode(node_, kNetworkDelay, [done, reply] { done(reply); });
+    });
+  }
+
+  Bench* bench_;
+  Node* node_;
+};
+
+}  // namespace
+
+Json BenchDocument(int limit_a) {
+  const Json weights = {{"bufferCost", 1},
+                        {"rollOutTime", 1},
+                        {"moves", 1},
+                        {"closenessToShare", 1}};
+  return {
+      {"deployment",
+       {{"name", "bench"}, {"sparePool", "spare"}, {"weights", weights}}},
+      {"teams",
+       {{"a", {{"share", 2}, {"limit", limit_a}}},
+        {"b", {{"share", 1}, {"limit", kLimitB}}}}},
+      {"services",
+       {{"main",
+         {{"service", "main"},
+          {"pool", "main"},
+          {"availabilityBudget", 1},
+          {"workers", {"w1", "w2"}},
+          {"queues",
+           {{"many",
+             {{"class", "urgent"},
+              {"deadlineMillis", 4000},
+              {"idempotent", true},
+              {"teams", {"a", "b"}}}},
+            {"once",
+             {{"class", "standard"},
+              {"deadlineMillis", 4000},
+              {"idempotent", false},
+              {"teams", {"a", "b"}}}}}}}},
+        {"spare",
+         {{"service", "spare"},
+          {"pool", "spare"},
+          {"availabilityBudget", 1},
+          {"workers", {"w3"}},
+          {"queues", Json::object()}}}}}};
+}
+
+Node::Node(Bench* owner, const std::string& instance, std::int64_t incarnation)
+    : bench(owner), random(owner->random.Next()) {
+  info = {.instance = instance, .incarnation = incarnation};
+  store = std::make_unique<FakeStore>(bench, this);
+  const Context context{.self = info,
+                        .clock = &bench->clock,
+                        .random = &random,
+                        .bus = this,
+                        .store = store.get(),
+                        .counters = &counters,
+                        .views = &views};
+  membership = std::make_unique<MembershipAgent>(context);
+  config = std::make_unique<ConfigAgent>(context);
+  slots = std::make_unique<SlotHome>(context);
+  places = std::make_unique<PlaceHome>(context, this);
+  claims = std::make_unique<ClaimHome>(context);
+  front = std::make_unique<FrontDoor>(context, this);
+}
+
+Node::~Node() = default;
+
+void Node::Send(const std::string& to, const Message& message) {
+  const Effect effect =
+      bench->OnStep({std::string(KindOf(message)), info.instance});
+  if (!alive) return;
+  const PeerId from{info.instance, info.incarnation};
+  const auto deliver = [this, from, to, bytes = EncodeEnvelope(
+                                            {.from = from,
+                                             .trace = "",
+                                             .message = message})] {
+    const auto it = bench->nodes.find(to);
+    if (it == bench->nodes.end()) return;
+    Node* receiver = it->second.get();
+    const bool cut = receiver != this && (peers_cut || receiver->peers_cut);
+    if (cut) return;
+    bench->ForNode(receiver, Millis(0), [receiver, from, bytes] {
+      receiver->Deliver(from, DecodeEnvelope(bytes).message);
+    });
+  };
+  bench->At(kNetworkDelay + effect.delay, deliver);
+  if (effect.twice) bench->At(kNetworkDelay * 3, deliver);
+}
+
+void Node::Deliver(const PeerId& from, const Message& message) {
+  membership->OnMessage(from, message);
+  config->OnMessage(from, message);
+  slots->OnMessage(from, message);
+  places->OnMessage(from, message);
+  claims->OnMessage(from, message);
+  front->OnMessage(from, message);
+}
+
+void Node::Tick() {
+  // What the store's watch would have brought.
+  if (!bench->store_down && !store_cut &&
+      bench->store_delay < Millis(500)) {
+    const std::vector<StoreEntry> changes = bench->store.ChangesAfter(
+        {kMemberPrefix, kIntentHeadKey, kKeysKey}, watch_revision);
+    watch_revision = bench->store.Revision();
+    const StoreChanges batch{.entries = changes,
+                             .asked_at = bench->clock.Now()};
+    membership->OnStoreChanges(batch);
+    config->OnStoreChanges(batch);
+  }
+  std::vector<EntryInfo> listed;
+  for (const auto& row : bench->nodes) listed.push_back(row.second->info);
+  membership->OnInstances(bench->worker_infos, listed);
+  membership->OnTick();
+  config->OnTick();
+  slots->OnTick();
+  places->OnTick();
+  claims->OnTick();
+  front->OnTick();
+}
+
+void Node::Dispatch(const DispatchOrder& order) {
+  const std::string kind =
+      bench->calls.at(order.request_id).once ? "once" : "many";
+  const Effect effect = bench->OnStep({"dispatch " + kind, info.instance});
+  const auto report = [this, order](Millis delay, DispatchResult result) {
+    bench->ForNode(this, delay, [this, order, result] {
+      front->OnDispatched(order.request_id, order.attempt, result);
+    });
+  };
+  bench->ForNode(this, kNetworkDelay + effect.delay, [this, order, report, kind] {
+    // The caller's thread checks the order's age before it sends the bytes.
+    if (bench->clock.Now() > order.send_before) {
+      report(Millis(0), {.status = DispatchStatus::kNotSent});
+      return;
+    }
+    if (workers_cut) {
+      report(Millis(100), {.status = DispatchStatus::kUnreachable});
+      return;
+    }
+    const Call& call = bench->calls.at(order.request_id);
+    const RunRecord run{.request_id = order.request_id,
+                        .attempt = order.attempt,
+                        .team = order.team,
+                        .holder = ToString({info.instance, info.incarnation}),
+                        .tag = call.tag};
+    WorkerCore* worker = &bench->workers.at(order.worker.id);
+    if (!worker->Start(run)) {
+      report(kNetworkDelay, {.status = DispatchStatus::kRefused});
+      return;
+    }
+    const auto withdrawn = bench->withdrawn.find(call.team);
+    if (withdrawn != bench->withdrawn.end() &&
+        bench->clock.Now() - withdrawn->second > kWithdrawalBound) {
+      bench->broken.push_back(
+          "work started with a withdrawn key: " + call.tag + " at " +
+          info.instance + " " +
+          std::to_string((bench->clock.Now() - withdrawn->second).count()) +
+          " ms after, now " +
+          std::to_string(bench->clock.Now().time_since_epoch().count()));
+    }
+    if (order.team != call.team) {
+      bench->broken.push_back("run for another team: " + call.tag);
+    }
+    const bool is_long = call.tag.find("long") != std::string::npos;
+    const Millis work(is_long ? kLongWorkMs : kWorkMs);
+    bench->At(work, [this, order, worker, report, kind, work,
+                     tag = call.tag] {
+      worker->Finish(order.request_id, order.attempt, 0);
+      const Effect answer = bench->OnStep({"answer " + kind, info.instance});
+      if (workers_cut || answer.lose_answer) {
+        report(Millis(500), {.status = DispatchStatus::kLost});
+        return;
+      }
+      report(kNetworkDelay + answer.delay,
+             {.status = DispatchStatus::kAnswered,
+              .http_status = 200,
+              .body = "answer to " + tag,
+              .service = work});
+    });
+  });
+}
+
+void Node::Finish(const std::string& request_id, const Answer& answer) {
+  Call& call = bench->calls.at(request_id);
+  ++call.answers;
+  call.answer = answer;
+}
+
+void Node::CheckRun(const WorkerInfo& worker, const std::string& request_id,
+                    int attempt) {
+  if (workers_cut) return;
+  bench->At(kNetworkDelay, [this, id = worker.id, request_id, attempt] {
+    const bool running = bench->workers.at(id).BarRun(request_id, attempt);
+    bench->ForNode(this, kNetworkDelay, [this, request_id, attempt, running] {
+      front->OnRunChecked(
+          request_id, attempt,
+          running ? RunState::kRunning : RunState::kNotRunning);
+    });
+  });
+}
+
+void Node::ProveGone(const PeerId& holder, std::function<void(bool)> done) {
+  bench->At(kNetworkDelay, [this, holder, done] {
+    bool gone = !workers_cut;
+    for (std::pair<const std::string, WorkerCore>& row : bench->workers) {
+      gone = gone && row.second.BarHolder(ToString(holder)) == 0;
+    }
+    bench->ForNode(this, kNetworkDelay, [done, gone] { done(gone); });
+  });
+}
+
+Bench::Bench(std::uint64_t seed) : random(seed) {
+  for (const char* name : {"w1", "w2", "w3"}) {
+    workers.emplace(name, WorkerCore(kSlots));
+    worker_infos[name] = {.id = name, .slots = kSlots};
+  }
+  for (const char* name : {"n1", "n2", "n3"}) {
+    nodes[name] = std::make_unique<Node>(this, name, next_incarnation++);
+  }
+  Advance(Millis(300));
+  Publish("n1", limit_a);
+  Advance(Millis(300));
+  GiveKey("n1", "a");
+  GiveKey("n2", "b");
+  Advance(Millis(2500));
+}
+
+Bench::~Bench() = default;
+
+void Bench::At(Millis delay, std::function<void()> work) {
+  events_.emplace(clock.now + delay, std::move(work));
+}
+
+void Bench::ForNode(Node* node, Millis delay, std::function<void()> work) {
+  At(delay, [node, work = std::move(work)] {
+    if (!node->alive) return;
+    if (node->paused) {
+      node->held.push_back(work);
+      return;
+    }
+    work();
+  });
+}
+
+Effect Bench::OnStep(const StepEvent& event) {
+  return hook ? hook(event) : Effect{};
+}
+
+void Bench::Advance(Millis span) {
+  const TimePoint end = clock.now + span;
+  while (clock.now < end) Step();
+}
+
+void Bench::Step() {
+  clock.now += kStep;
+  while (!events_.empty() && events_.begin()->first <= clock.now) {
+    const std::function<void()> work = std::move(events_.begin()->second);
+    events_.erase(events_.begin());
+    work();
+    CheckNow();
+  }
+  if (clock.now < next_tick_) return;
+  next_tick_ = clock.now + kTickPeriod;
+  store.ExpireLeases(clock.now);
+  std::vector<Node*> live;
+  for (const auto& row : nodes) live.push_back(row.second.get());
+  for (Node* node : live) {
+    if (node->alive && !node->paused) node->Tick();
+  }
+  CheckWithdrawals();
+  CheckNow();
+}
+
+int Bench::RunningOf(const std::string& team) const {
+  int running = 0;
+  for (const auto& row : workers) running += row.second.RunningOf(team);
+  return running;
+}
+
+int Bench::RunsOf(const std::string& tag) const {
+  int runs = 0;
+  for (const auto& row : workers) {
+    runs += static_cast<int>(std::count_if(
+        row.second.Records().begin(), row.second.Records().end(),
+        [&tag](const RunRecord& run) { return run.tag == tag; }));
+  }
+  return runs;
+}
+
+std::int64_t Bench::AcceptedVersion() const {
+  const StoreReply head = store.Get(kIntentHeadKey);
+  if (head.entries.empty()) return 0;
+  return Json::parse(head.entries.front().value).at("version");
+}
+
+void Bench::Break(const std::string& text) {
+  if (broken.size() < 20) broken.push_back(text);
+}
+
+void Bench::CheckNow() {
+  const int running_a = RunningOf("a");
+  if (running_a > allowed_a) {
+    Break("team a over its limit: " + std::to_string(running_a) + " > " +
+          std::to_string(allowed_a));
+  }
+  if (RunningOf("b") > kLimitB) Break("team b over its limit");
+  for (const auto& row : nodes) {
+    const ViewPtr view = row.second->views.Current();
+    const std::int64_t version = view->intent ? view->intent->version : 0;
+    if (version < row.second->highest_version) Break("intent went back");
+    row.second->highest_version = version;
+  }
+}
+
+void Bench::Request(const std::string& node, const std::string& queue,
+                    const std::string& team, const std::string& tag) {
+  const auto it = nodes.find(node);
+  if (it == nodes.end() || !it->second->alive || it->second->paused) return;
+  const std::string id = "r" + std::to_string(next_request_++);
+  calls[id] = {.request_id = id,
+               .node = node,
+               .team = team,
+               .tag = tag,
+               .once = queue == "once",
+               .sent_at = clock.now};
+  it->second->front->Submit({.request_id = id,
+                             .key = keys[team],
+                             .queue = queue,
+                             .idempotency_key = queue == "once" ? tag : "",
+                             .body_digest = DigestOf(tag)});
+}
+
+void Bench::Publish(const std::string& name, int limit) {
+  const auto it = nodes.find(name);
+  if (it == nodes.end() || !it->second->alive) return;
+  // A raised limit may be in force from now on; a lowered one within seconds.
+  allowed_a = std::max(allowed_a, limit);
+  Node* node = it->second.get();
+  const ViewPtr view = node->views.Current();
+  const std::int64_t base = view->intent ? view->intent->version : 0;
+  node->config->Publish(BenchDocument(limit), base,
+                        [this, limit](const PublishResult& result) {
+                          if (result.code != ResultCode::kOk) return;
+                          limit_a = limit;
+                          ++published;
+                        });
+}
+
+void Bench::GiveKey(const std::string& node, const std::string& team) {
+  if (!Get(node)->alive) return;
+  const std::string id = RandomHex(&random, 8);
+  const std::string key = id + "." + RandomHex(&random, 16);
+  Get(node)->config->GiveKey(id, {.team = team, .hash = KeyHash(key)},
+                             [this, team, key](const KeyChangeResult& result) {
+                               if (!result.stored) return;
+                               keys[team] = key;
+                               withdrawn.erase(team);
+                             });
+}
+
+void Bench::WithdrawKey(const std::string& node, const std::string& team) {
+  if (!Get(node)->alive || Get(node)->paused) return;
+  const std::string id = keys[team].substr(0, keys[team].find('.'));
+  Get(node)->config->WithdrawKey(id, [](const KeyChangeResult&) {});
+  withdrawing[team] = id;
+}
+
+bool Bench::IsTombstoneStored(const std::string& id) const {
+  const StoreReply stored = store.Get(kKeysKey);
+  if (stored.entries.empty()) return false;
+  const KeySet set = Json::parse(stored.entries.front().value).get<KeySet>();
+  const auto it = set.Records().find(id);
+  return it != set.Records().end() && it->second.withdrawn;
+}
+
+std::size_t Bench::TombstoneHolders(const std::string& id) const {
+  std::size_t holding = 0;
+  for (const auto& row : nodes) {
+    if (!row.second->alive) continue;
+    const ViewPtr view = row.second->views.Current();
+    const auto it = view->keys->Records().find(id);
+    if (it != view->keys->Records().end() && it->second.withdrawn) ++holding;
+  }
+  return holding;
+}
+
+void Bench::CheckWithdrawals() {
+  for (auto it = withdrawing.begin(); it != withdrawing.end();) {
+    const std::string& id = it->second;
+    const bool stored = IsTombstoneStored(id);
+    const std::size_t holders = TombstoneHolders(id);
+    const bool current = keys[it->first].compare(0, id.size(), id) == 0;
+    if (current && (stored || holders * 2 > nodes.size())) {
+      withdrawn.try_emplace(it->first, clock.now);
+    }
+    if (!stored && holders == 0) {
+      // Every entry that had it was lost before the store came back; the
+      // operator was told that the store did not have it.
+      withdrawn.erase(it->first);
+    }
+    if (stored || holders == 0 || !current) {
+      it = withdrawing.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void Bench::Crash(const std::string& name) {
+  const auto it = nodes.find(name);
+  if (it == nodes.end() || !it->second->alive) return;
+  it->second->alive = false;
+  for (std::pair<const std::string, Call>& row : calls) {
+    if (row.second.node == name && row.second.answers == 0) {
+      row.second.node_lost = true;
+    }
+  }
+  for (const auto& row : nodes) {
+    if (row.first != name) row.second->membership->OnDisconnected(name);
+  }
+}
+
+void Bench::Restart(const std::string& name) {
+  Crash(name);
+  graveyard.push_back(std::move(nodes[name]));
+  nodes[name] = std::make_unique<Node>(this, name, next_incarnation++);
+}
+
+void Bench::Pause(const std::string& name) {
+  if (Get(name)->alive) Get(name)->paused = true;
+}
+
+void Bench::Resume(const std::string& name) {
+  Node* node = Get(name);
+  if (!node->alive || !node->paused) return;
+  node->paused = false;
+  const std::vector<std::function<void()>> held =
+      std::exchange(node->held, {});
+  for (const std::function<void()>& work : held) ForNode(node, Millis(0), work);
+}
+
+void Bench::StopGracefully(const std::string& name) {
+  Node* node = Get(name);
+  if (!node->alive || node->paused) return;
+  node->stopping = true;
+  node->membership->StandDown();
+  node->membership->Broadcast();
+  node->places->StandDown();
+  node->front->StopAccepting();
+}
+
+void Bench::CheckEnd() {
+  std::map<std::string, int> runs_by_tag;
+  for (const auto& row : workers) {
+    for (const RunRecord& run : row.second.Records()) ++runs_by_tag[run.tag];
+  }
+  std::map<std::string, std::set<Outcome>> outcomes;
+  for (const auto& row : calls) {
+    const Call& call = row.second;
+    const int runs = runs_by_tag[call.tag];
+    if (call.answers > 1) Break("answered twice: " + call.tag);
+    if (call.answers == 0 && !call.node_lost &&
+        clock.now - call.sent_at > kAnswerBound) {
+      Break("never answered: " + call.request_id + " " + call.tag);
+    }
+    if (call.once && runs > 1) {
+      Break("ran " + std::to_string(runs) + " times: " + call.tag);
+    }
+    if (call.answers == 0) continue;
+    if (call.answer.outcome == Outcome::kRan) {
+      if (call.answer.body != "answer to " + call.tag) {
+        Break("another's answer: " + call.tag);
+      }
+      if (runs == 0) Break("answered but not run: " + call.tag);
+    }
+    if (call.answer.outcome == Outcome::kNotRun && !call.once && runs > 0) {
+      Break("\"not run\" but run: " + call.tag);
+    }
+  }
+  for (const auto& row : calls) {
+    const Call& call = row.second;
+    if (!call.once || call.answer.outcome != Outcome::kNotRun) continue;
+    if (call.answers == 0) continue;
+    // This submission's own attempts must not have run.
+    for (const auto& worker : workers) {
+      for (const RunRecord& run : worker.second.Records()) {
+        if (run.request_id == call.request_id) {
+          Break("\"not run\" but run: " + call.request_id);
+        }
+      }
+    }
+  }
+}
+
+}  // namespace basilusher::testing
--- /dev/null
+++ b/unittests/Control/Bench.h
@@ -0,0 +1,175 @@
+// Entries on a fake clock, network, store and workers, with an independent
+// record by which the promises are checked.
+#ifndef BASILUSHER_UNITTESTS_CONTROL_BENCH_H_
+#define BASILUSHER_UNITTESTS_CONTROL_BENCH_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "basilusher/Control/ClaimHome.h"
+#include "basilusher/Control/ConfigAgent.h"
+#include "basilusher/Control/FrontDoor.h"
+#include "basilusher/Control/MembershipAgent.h"
+#include "basilusher/Control/PlaceHome.h"
+#include "basilusher/Control/SlotHome.h"
+#include "basilusher/Standin/WorkerCore.h"
+#include "basilusher/Store/MemoryStore.h"
+
+namespace basilusher::testing {
+
+class FakeClock : public Clock {
+ public:
+  TimePoint Now() const override { return now; }
+  TimePoint now{Millis(1000000)};
+};
+
+/// Something that an entry does and at which a fault can strike.
+struct StepEvent {
+  /// Kind of the message, or "swap <key>", "dispatch", "answer".
+  std::string name;
+  std::string instance;
+};
+
+/// What happens to the message or call that a fault strikes.
+struct Effect {
+  Millis delay{0};
+  bool twice = false;
+  bool lose_answer = false;
+};
+
+class Bench;
+
+/// One run of one entry.
+class Node : public Bus, public Dispatcher, public WorkerSurvey {
+ public:
+  Node(Bench* bench, const std::string& instance, std::int64_t incarnation);
+  ~Node() override;
+
+  void Send(const std::string& to, const Message& message) override;
+  void Dispatch(const DispatchOrder& order) override;
+  void Finish(const std::string& request_id, const Answer& answer) override;
+  void CheckRun(const WorkerInfo& worker, const std::string& request_id,
+                int attempt) override;
+  void ProveGone(const PeerId& holder,
+                 std::function<void(bool)> done) override;
+  void Deliver(const PeerId& from, const Message& message);
+  void Tick();
+
+  Bench* bench;
+  EntryInfo info;
+  bool alive = true;
+  bool paused = false;
+  bool store_cut = false;
+  bool peers_cut = false;
+  bool workers_cut = false;
+  bool stopping = false;
+  TimePoint stop_asked{};
+  std::int64_t watch_revision = 0;
+  std::int64_t highest_version = 0;
+  /// Work for this node that came while it was paused.
+  std::vector<std::function<void()>> held;
+  ViewHub views;
+  Counters counters;
+  SeededRandom random;
+  std::unique_ptr<KeyValueStore> store;
+  std::unique_ptr<MembershipAgent> membership;
+  std::unique_ptr<ConfigAgent> config;
+  std::unique_ptr<SlotHome> slots;
+  std::unique_ptr<PlaceHome> places;
+  std::unique_ptr<ClaimHome> claims;
+  std::unique_ptr<FrontDoor> front;
+};
+
+/// What a caller sent and got.
+struct Call {
+  std::string request_id;
+  std::string node;
+  std::string team;
+  std::string tag;
+  bool once = false;
+  TimePoint sent_at{};
+  int answers = 0;
+  Answer answer;
+  bool node_lost = false;
+};
+
+class Bench {
+ public:
+  explicit Bench(std::uint64_t seed);
+  ~Bench();
+
+  /// Lets `span` pass, in steps of kStep.
+  void Advance(Millis span);
+  /// Sends a request to `node`; repeated tags share an idempotency key.
+  void Request(const std::string& node, const std::string& queue,
+               const std::string& team, const std::string& tag);
+  void Publish(const std::string& node, int limit_a);
+  void GiveKey(const std::string& node, const std::string& team);
+  void WithdrawKey(const std::string& node, const std::string& team);
+  void Crash(const std::string& node);
+  void Restart(const std::string& node);
+  void Pause(const std::string& node);
+  void Resume(const std::string& node);
+  void StopGracefully(const std::string& node);
+  Node* Get(const std::string& name) { return nodes.at(name).get(); }
+  /// Checks everything at the end; adds to `broken`.
+  void CheckEnd();
+
+  void At(Millis delay, std::function<void()> work);
+  void ForNode(Node* node, Millis delay, std::function<void()> work);
+  /// Tells the hook of a step and applies its fault to the step.
+  Effect OnStep(const StepEvent& event);
+  int RunningOf(const std::string& team) const;
+  int RunsOf(const std::string& tag) const;
+  /// Version of the intent that the store has accepted.
+  std::int64_t AcceptedVersion() const;
+
+  FakeClock clock;
+  SeededRandom random;
+  MemoryStore store;
+  bool store_down = false;
+  Millis store_delay{1};
+  std::map<std::string, std::unique_ptr<Node>> nodes;
+  /// Ended runs of entries, kept until the end of the test.
+  std::vector<std::unique_ptr<Node>> graveyard;
+  std::map<std::string, WorkerCore> workers;
+  std::map<std::string, WorkerInfo> worker_infos;
+  std::map<std::string, Call> calls;
+  std::map<std::string, std::string> keys;
+  /// Withdrawals handed to an entry and not accepted yet: team and key id. One
+  /// is accepted once the store or a majority of entries has it; before that
+  /// the operator is told that it is not in force.
+  std::map<std::string, std::string> withdrawing;
+  /// When the withdrawal of a team's key was accepted.
+  std::map<std::string, TimePoint> withdrawn;
+  std::function<Effect(const StepEvent&)> hook;
+  std::vector<std::string> broken;
+  int limit_a = 4;
+  /// Highest limit of team "a" that may still be in force.
+  int allowed_a = 4;
+  int published = 0;
+  std::int64_t next_incarnation = 1;
+
+ private:
+  void Step();
+  void CheckNow();
+  void CheckWithdrawals();
+  bool IsTombstoneStored(const std::string& id) const;
+  std::size_t TombstoneHolders(const std::string& id) const;
+  void Break(const std::string& text);
+
+  std::multimap<TimePoint, std::function<void()>> events_;
+  TimePoint next_tick_{};
+  int next_request_ = 0;
+};
+
+/// The intent document that the bench publishes.
+Json BenchDocument(int limit_a);
+
+}  // namespace basilusher::testing
+
+#endif  // BASILUSHER_UNITTESTS_CONTROL_BENCH_H_
--- /dev/null
+++ b/unittests/Control/FaultMatrixTest.cc
@@ -0,0 +1,394 @@
+// Every fault at every step of the entries' protocols, with all promises
+// checked against the record of the fakes.
+#include <gtest/gtest.h>
+
+#include <array>
+#include <cstdlib>
+
+#include "Bench.h"
+
+namespace basilusher::testing {
+namespace {
+
+constexpr Millis kFaultSpan{4000};
+constexpr Millis kLateBy{2500};
+
+enum class Step {
+  kClaim,
+  kAllotSlot,
+  kAllotPlace,
+  kDispatchMany,
+  kDispatchOnce,
+  kAnswerMany,
+  kAnswerOnce,
+  kRelease,
+  kRecordOutcome,
+  kTakeHome,
+  kCollect,
+  kServe,
+  kPublish,
+  kSpread,
+  kGive,
+  kWithdraw,
+};
+
+constexpr EnumTable<Step, 16> kSteps = {{
+    {Step::kClaim, "swap claims/"},
+    {Step::kAllotSlot, "slot-ask"},
+    {Step::kAllotPlace, "place-ask"},
+    {Step::kDispatchMany, "dispatch many"},
+    {Step::kDispatchOnce, "dispatch once"},
+    {Step::kAnswerMany, "answer many"},
+    {Step::kAnswerOnce, "answer once"},
+    {Step::kRelease, "slot-done"},
+    {Step::kRecordOutcome, "claim-done"},
+    {Step::kTakeHome, "swap places/"},
+    {Step::kCollect, "place-term"},
+    {Step::kServe, "place-answer"},
+    {Step::kPublish, "swap intent/head"},
+    {Step::kSpread, "intent-push"},
+    {Step::kGive, "swap keys"},
+    {Step::kWithdraw, "keys-push"},
+}};
+
+enum class FaultColumn {
+  kCrash,
+  kCrashAndRestart,
+  kPause,
+  kCutStore,
+  kCutPeers,
+  kCutWorkers,
+  kStoreDown,
+  kStoreSlow,
+  kAnswerLost,
+  kLate,
+  kTwice,
+  kCrossed,
+  kCrashAndStoreDown,
+  kPauseAndStoreDown,
+  kCutPeersAndStoreSlow,
+};
+
+constexpr EnumTable<FaultColumn, 15> kFaults = {{
+    {FaultColumn::kCrash, "crash"},
+    {FaultColumn::kCrashAndRestart, "crash-restart"},
+    {FaultColumn::kPause, "pause-beyond-lease"},
+    {FaultColumn::kCutStore, "cut-to-store"},
+    {FaultColumn::kCutPeers, "cut-to-peers"},
+    {FaultColumn::kCutWorkers, "cut-to-workers"},
+    {FaultColumn::kStoreDown, "store-down"},
+    {FaultColumn::kStoreSlow, "store-slow"},
+    {FaultColumn::kAnswerLost, "answer-lost"},
+    {FaultColumn::kLate, "late"},
+    {FaultColumn::kTwice, "twice"},
+    {FaultColumn::kCrossed, "crossed"},
+    {FaultColumn::kCrashAndStoreDown, "crash+store-down"},
+    {FaultColumn::kPauseAndStoreDown, "pause+store-down"},
+    {FaultColumn::kCutPeersAndStoreSlow, "cut-to-peers+store-slow"},
+}};
+
+/// Applies a fault to the entry that takes the step; returns the effect on the
+/// step's own message or call.
+Effect Strike(Bench* bench, FaultColumn fault, const std::string& node) {
+  const auto end = [bench](std::function<void()> work) {
+    bench->At(kFaultSpan, std::move(work));
+  };
+  const auto store_down = [bench, &end] {
+    bench->store_down = true;
+    end([bench] { bench->store_down = false; });
+  };
+  const auto store_slow = [bench, &end] {
+    bench->store_delay = Millis(800);
+    end([bench] { bench->store_delay = Millis(1); });
+  };
+  const auto pause = [bench, &end, &node] {
+    bench->At(Millis(0), [bench, node] { bench->Pause(node); });
+    end([bench, node] { bench->Resume(node); });
+  };
+  const auto cut_peers = [bench, &end, &node] {
+    bench->Get(node)->peers_cut = true;
+    end([bench, node] { bench->Get(node)->peers_cut = false; });
+  };
+  // An entry ends between two events, not within a call.
+  const auto crash = [bench, &node] {
+    bench->At(Millis(0), [bench, node] { bench->Crash(node); });
+  };
+  switch (fault) {
+    case FaultColumn::kCrash:
+      crash();
+      return {};
+    case FaultColumn::kCrashAndRestart:
+      crash();
+      bench->At(Millis(600), [bench, node] { bench->Restart(node); });
+      return {};
+    case FaultColumn::kPause:
+      pause();
+      return {};
+    case FaultColumn::kCutStore:
+      bench->Get(node)->store_cut = true;
+      end([bench, node] { bench->Get(node)->store_cut = false; });
+      return {};
+    case FaultColumn::kCutPeers:
+      cut_peers();
+      return {};
+    case FaultColumn::kCutWorkers:
+      bench->Get(node)->workers_cut = true;
+      end([bench, node] { bench->Get(node)->workers_cut = false; });
+      return {};
+    case FaultColumn::kStoreDown:
+      store_down();
+      return {};
+    case FaultColumn::kStoreSlow:
+      store_slow();
+      return {};
+    case FaultColumn::kAnswerLost:
+      return {.lose_answer = true};
+    case FaultColumn::kLate:
+      return {.delay = kLateBy};
+    case FaultColumn::kTwice:
+      return {.twice = true};
+    case FaultColumn::kCrossed:
+      return {.delay = Millis(30)};
+    case FaultColumn::kCrashAndStoreDown:
+      crash();
+      store_down();
+      return {};
+    case FaultColumn::kPauseAndStoreDown:
+      pause();
+      store_down();
+      return {};
+    case FaultColumn::kCutPeersAndStoreSlow:
+      cut_peers();
+      store_slow();
+      return {};
+  }
+  return {};
+}
+
+/// Whether `fault` can strike at `step`; otherwise `reason` says why not.
+bool Applies(Step step, FaultColumn fault, std::string* reason) {
+  const std::string_view name = NameOf(kSteps, step);
+  const bool is_call = name.compare(0, 5, "swap ") == 0;
+  const bool is_answer =
+      step == Step::kAnswerMany || step == Step::kAnswerOnce;
+  const bool is_work = is_answer || step == Step::kDispatchMany ||
+                       step == Step::kDispatchOnce;
+  if (fault == FaultColumn::kAnswerLost && !is_call && !is_answer) {
+    *reason = "the step has no answer of its own; a lost message is cut-to-...";
+    return false;
+  }
+  if (fault == FaultColumn::kTwice && (is_call || is_work)) {
+    *reason = "the connection delivers a call at most once";
+    return false;
+  }
+  if (fault == FaultColumn::kCrossed && is_call) {
+    *reason = "one call at a time is under way for a key";
+    return false;
+  }
+  return true;
+}
+
+/// Traffic, operators' changes and home changes for some seconds.
+void RunScenario(Bench* bench, const std::function<void()>& arm) {
+  const std::array<std::string, 3> names = {"n1", "n2", "n3"};
+  int tag = 0;
+  int burst = 0;
+  const auto traffic = [bench, &names, &tag, &burst](int rounds) {
+    for (int n = 0; n < rounds; ++n) {
+      if (n % 10 == 0) {
+        // More at once than team a's limit, at every entry.
+        for (int part = 0; part < 9; ++part) {
+          const bool is_long = part == 0 && n % 40 == 0;
+          const std::string length = is_long ? "long" : "short";
+          bench->Request(names[static_cast<std::size_t>(part) % 3], "many", "a",
+                         length + "-burst" + std::to_string(burst++));
+        }
+      }
+      const std::string& node = names[static_cast<std::size_t>(tag) % 3];
+      const std::string team = tag % 4 == 3 ? "b" : "a";
+      const std::string queue = tag % 2 == 0 ? "once" : "many";
+      const std::string name = queue + std::to_string(tag);
+      bench->Request(node, queue, team, name);
+      if (tag % 6 == 0) {
+        // The same key again, at another entry.
+        bench->At(Millis(25), [bench, &names, queue, team, name, tag] {
+          bench->Request(names[static_cast<std::size_t>(tag + 1) % 3], queue,
+                         team, name);
+        });
+      }
+      ++tag;
+      bench->Advance(Millis(20));
+    }
+  };
+  traffic(40);
+  arm();
+  traffic(20);
+  bench->Publish("n2", 6);
+  traffic(20);
+  bench->WithdrawKey("n3", "b");
+  traffic(20);
+  // A home of places is replaced while the load runs.
+  bench->Restart("n1");
+  traffic(120);
+  bench->GiveKey("n2", "b");
+  bench->Publish("n3", 5);
+  traffic(100);
+  bench->Advance(Millis(14000));
+}
+
+/// After all faults every entry serves again.
+void CheckRecovery(Bench* bench) {
+  for (const char* name : {"n1", "n2", "n3"}) {
+    if (!bench->Get(name)->alive) bench->Restart(name);
+  }
+  bench->Advance(Millis(9000));
+  int n = 0;
+  for (const char* name : {"n1", "n2", "n3"}) {
+    bench->Request(name, "once", "a", "after" + std::to_string(n++));
+    bench->Request(name, "many", "a", "after" + std::to_string(n++));
+  }
+  bench->Advance(Millis(5000));
+  for (const auto& row : bench->calls) {
+    if (row.second.tag.compare(0, 5, "after") != 0) continue;
+    if (row.second.answer.outcome == Outcome::kRan) continue;
+    bench->broken.push_back(
+        "no service after the fault: " + row.second.node + " " +
+        row.second.tag + " code " +
+        std::to_string(static_cast<int>(row.second.answer.code)) + " " +
+        row.second.answer.text);
+  }
+  for (const char* name : {"n1", "n2", "n3"}) {
+    const ViewPtr view = bench->Get(name)->views.Current();
+    // What the store has accepted is what must be in force, whether or not the
+    // publisher lived to hear of it.
+    if (!view->intent || view->intent->version != bench->AcceptedVersion()) {
+      bench->broken.push_back(std::string("intent not in force at ") + name);
+    }
+  }
+}
+
+bool MatchesStep(Step step, const StepEvent& event) {
+  const std::string_view prefix = NameOf(kSteps, step);
+  return event.name.compare(0, prefix.size(), prefix) == 0;
+}
+
+/// Calls by outcome over all scenarios, so that an idle matrix is seen.
+std::map<Outcome, int>& TheOutcomes() {
+  static std::map<Outcome, int> outcomes;
+  return outcomes;
+}
+
+void CountOutcomes(const Bench& bench) {
+  for (const auto& row : bench.calls) {
+    if (row.second.answers > 0) ++TheOutcomes()[row.second.answer.outcome];
+  }
+}
+
+struct MatrixCount {
+  int run = 0;
+  int not_applicable = 0;
+  int red = 0;
+};
+
+MatrixCount& TheCount() {
+  static MatrixCount count;
+  return count;
+}
+
+class FaultMatrix : public ::testing::TestWithParam<int> {
+ public:
+  static void TearDownTestSuite() {
+    const MatrixCount& count = TheCount();
+    std::printf("fault matrix: %d cells run, %d not applicable, %d red\n",
+                count.run, count.not_applicable, count.red);
+    for (const auto& row : TheOutcomes()) {
+      std::printf("answers %s: %d\n",
+                  std::string(NameOf(kOutcomeNames, row.first)).c_str(),
+                  row.second);
+    }
+  }
+};
+
+TEST_P(FaultMatrix, KeepsAllPromises) {
+  const Step step = kSteps[static_cast<std::size_t>(GetParam())].first;
+  for (const auto& fault : kFaults) {
+    std::string reason;
+    if (!Applies(step, fault.first, &reason)) {
+      ++TheCount().not_applicable;
+      continue;
+    }
+    Bench bench(static_cast<std::uint64_t>(GetParam()) + 1);
+    bool armed = false;
+    bool struck = false;
+    bench.hook = [&](const StepEvent& event) -> Effect {
+      if (!armed || struck || !MatchesStep(step, event)) return {};
+      struck = true;
+      return Strike(&bench, fault.first, event.instance);
+    };
+    RunScenario(&bench, [&armed] { armed = true; });
+    CheckRecovery(&bench);
+    bench.CheckEnd();
+    CountOutcomes(bench);
+    ++TheCount().run;
+    if (!bench.broken.empty()) ++TheCount().red;
+    EXPECT_TRUE(struck) << "the step never came";
+    for (const std::string& line : bench.broken) {
+      ADD_FAILURE() << NameOf(kSteps, step) << " x " << fault.second << ": "
+                    << line;
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Steps, FaultMatrix, ::testing::Range(0, static_cast<int>(kSteps.size())),
+    [](const ::testing::TestParamInfo<int>& param) {
+      std::string name(kSteps[static_cast<std::size_t>(param.param)].second);
+      for (char& c : name) {
+        if (std::isalnum(static_cast<unsigned char>(c)) == 0) c = '_';
+      }
+      return name;
+    });
+
+TEST(RandomFaults, KeepAllPromises) {
+  const char* text = std::getenv("BASILUSHER_SEEDS");
+  const char* first_text = std::getenv("BASILUSHER_FIRST_SEED");
+  const int seeds = text == nullptr ? 40 : std::atoi(text);
+  const int first = first_text == nullptr ? 1 : std::atoi(first_text);
+  int red = 0;
+  for (int seed = first; seed < first + seeds; ++seed) {
+    Bench bench(static_cast<std::uint64_t>(seed));
+    SeededRandom dice(static_cast<std::uint64_t>(seed) * 7919);
+    // Each event strikes with a small chance, with a fault of any kind.
+    std::vector<std::string> strikes;
+    bool armed = false;
+    bench.hook = [&](const StepEvent& event) -> Effect {
+      constexpr std::size_t kMostStrikes = 4;
+      constexpr std::uint64_t kChance = 400;
+      if (!armed || strikes.size() >= kMostStrikes || dice.Next() % kChance != 0) {
+        return {};
+      }
+      const auto& fault = kFaults[dice.Next() % kFaults.size()];
+      strikes.push_back(
+          std::to_string(bench.clock.Now().time_since_epoch().count()) + " " +
+          event.instance + " " + event.name + " x " +
+          std::string(fault.second));
+      return Strike(&bench, fault.first, event.instance);
+    };
+    RunScenario(&bench, [&armed] { armed = true; });
+    armed = false;
+    CheckRecovery(&bench);
+    bench.CheckEnd();
+    if (!bench.broken.empty()) ++red;
+    for (const std::string& line : bench.broken) {
+      ADD_FAILURE() << "seed " << seed << ": " << line;
+    }
+    for (const std::string& strike : strikes) {
+      if (!bench.broken.empty()) std::printf("  strike: %s\n", strike.c_str());
+    }
+  }
+  std::printf("random faults: seeds %d to %d, %d red\n", first,
+              first + seeds - 1, red);
+}
+
+}  // namespace
+}  // namespace basilusher::testing
