Answer callers that close their sending side; explain

Cause: the HTTP library takes a half-closed connection for a closed one before it writes, so the work ran and its caller got nothing. Ruled out: the handler (the run is in the worker's record) and the keep-alive timeout. The entry's server now has a connection loop of its own that asks only whether the socket can be written to.

basilusherctl explain tells, entry by entry, why a queue, team, pool, worker or entry fares as it does.

--- a/include/basilusher/Client/OperatorClient.h
+++ b/include/basilusher/Client/OperatorClient.h
@@ -43,8 +43,9 @@
   /// not repeated after its bytes were sent.
   OperatorReply Call(const std::string& method, const std::string& path,
                      const std::string& body = "");
-  /// Status of every entry that answers, with those of the peers it knows.
-  std::vector<Json> AllStatuses();
+  /// The answer of every entry to a GET of `path`, with the entry's address as
+  /// "entry"; an entry that does not answer has a "text" that says so.
+  std::vector<Json> CallAll(const std::string& path);
 
  private:
   OperatorClientOptions options_;
--- a/lib/Client/OperatorClient.cc
+++ b/lib/Client/OperatorClient.cc
@@ -80,24 +80,24 @@
               "no entry answers; check --entry and that the entries run");
 }
 
-std::vector<Json> OperatorClient::AllStatuses() {
-  std::vector<Json> statuses;
+std::vector<Json> OperatorClient::CallAll(const std::string& path) {
+  std::vector<Json> replies;
   httplib::Request request;
   request.method = "GET";
-  request.path = "/operator/status";
+  request.path = path;
   for (const EntryAddress& entry : options_.entries) {
     const std::optional<OperatorReply> reply =
         CallEntry(entry, options_, request);
     const std::string name = entry.address + ":" + std::to_string(entry.port);
     if (!reply) {
-      statuses.push_back({{"entry", name}, {"text", "does not answer"}});
+      replies.push_back({{"entry", name}, {"text", "does not answer"}});
       continue;
     }
-    Json status = reply->body;
-    status["entry"] = name;
-    statuses.push_back(std::move(status));
+    Json body = reply->body;
+    body["entry"] = name;
+    replies.push_back(std::move(body));
   }
-  return statuses;
+  return replies;
 }
 
 }  // namespace basilusher
--- a/lib/Client/OperatorCommands.cc
+++ b/lib/Client/OperatorCommands.cc
@@ -93,7 +93,7 @@
   const TimePoint until =
       clock.Now() + std::chrono::seconds(options.wait_seconds);
   while (true) {
-    const std::vector<Json> statuses = client->AllStatuses();
+    const std::vector<Json> statuses = client->CallAll("/operator/status");
     bool all = true;
     for (const Json& status : statuses) all = all && in_force(status);
     if (!all && clock.Now() < until) {
@@ -208,7 +208,7 @@
 
 int RunStatus(const Arguments& /*arguments*/, const CommandOptions& options) {
   OperatorClient client = MakeClient(options);
-  const std::vector<Json> statuses = client.AllStatuses();
+  const std::vector<Json> statuses = client.CallAll("/operator/status");
   if (options.json) {
     PrintJson(statuses);
     return kExitOk;
@@ -237,17 +237,25 @@
 
 int RunExplain(const Arguments& arguments, const CommandOptions& options) {
   OperatorClient client = MakeClient(options);
-  const OperatorReply reply =
-      client.Call("GET", "/operator/explain?name=" + arguments[1]);
-  if (reply.status != kStatusOk) return ReportRefusal(reply);
-  if (options.json) {
-    PrintJson(reply.body);
-    return kExitOk;
-  }
-  for (const Json& line : reply.body.at("lines")) {
-    std::printf("%s\n", line.get<std::string>().c_str());
+  const std::vector<Json> replies =
+      client.CallAll("/operator/explain?name=" + arguments[1]);
+  if (options.json) PrintJson(replies);
+  int exit = kExitRefused;
+  for (const Json& reply : replies) {
+    const std::string entry = reply.at("entry").get<std::string>();
+    if (!reply.contains("lines")) {
+      std::fprintf(stderr, "%s: %s\n", entry.c_str(),
+                   reply.value("text", std::string("no answer")).c_str());
+      continue;
+    }
+    exit = kExitOk;
+    if (options.json) continue;
+    std::printf("%s:\n", entry.c_str());
+    for (const Json& line : reply.at("lines")) {
+      std::printf("  %s\n", line.get<std::string>().c_str());
+    }
   }
-  return kExitOk;
+  return exit;
 }
 
 int RunTrace(const Arguments& arguments, const CommandOptions& options) {
--- a/lib/Control/TaskHome.cc
+++ b/lib/Control/TaskHome.cc
@@ -90,13 +90,12 @@
   const std::string kind = record.at("kind").get<std::string>();
   const std::string id = record.at("task").get<std::string>();
   if (kind == kAcceptRecord) {
-    bucket->tasks.emplace(id,
-                          Task{.id = id,
-                               .team = record.at("team").get<std::string>(),
-                               .queue = record.at("queue").get<std::string>(),
-                               .body = record.at("body").get<std::string>(),
-                               .idempotent = record.at("once").get<bool>() ==
-                                             false});
+    bucket->tasks.emplace(
+        id, Task{.id = id,
+                 .team = record.at("team").get<std::string>(),
+                 .queue = record.at("queue").get<std::string>(),
+                 .body = record.at("body").get<std::string>(),
+                 .idempotent = record.at("once").get<bool>() == false});
     return;
   }
   const auto it = bucket->tasks.find(id);
@@ -169,9 +168,9 @@
           record, [this, id = ask.task_id] { return Find(id) == nullptr; },
           [this, from, ask](AppendResult /*result*/) {
             SendAnswer(from, ask,
-                   Find(ask.task_id) != nullptr
-                       ? ResultCode::kOk
-                       : ResultCode::kClaimUnavailable);
+                       Find(ask.task_id) != nullptr
+                           ? ResultCode::kOk
+                           : ResultCode::kClaimUnavailable);
           });
 }
 
@@ -191,25 +190,23 @@
           record, [this, id = ask.task_id] { return Find(id) != nullptr; },
           [this, from, ask](AppendResult result) {
             SendAnswer(from, ask,
-                   result == AppendResult::kCommitted
-                       ? ResultCode::kOk
-                       : ResultCode::kClaimUnavailable);
+                       result == AppendResult::kCommitted
+                           ? ResultCode::kOk
+                           : ResultCode::kClaimUnavailable);
           });
 }
 
-void TaskHome::SendAnswer(const PeerId& to, const TaskAsk& ask, ResultCode code) {
+void TaskHome::SendAnswer(const PeerId& to, const TaskAsk& ask,
+                          ResultCode code) {
   TaskAnswer answer{.call_id = ask.call_id, .code = static_cast<int>(code)};
   const Task* task = Find(ask.task_id);
   if (task != nullptr && task->team == ask.team) {
     const char* phase = task->phase == Phase::kQueued    ? "queued"
                         : task->phase == Phase::kStarted ? "running"
                                                          : "ended";
-    answer.state = {{"task", task->id},
-                    {"queue", task->queue},
-                    {"state", phase},
-                    {"run", task->run},
-                    {"worker", task->worker},
-                    {"cancelled", task->cancelled}};
+    answer.state = {{"task", task->id},       {"queue", task->queue},
+                    {"state", phase},         {"run", task->run},
+                    {"worker", task->worker}, {"cancelled", task->cancelled}};
     if (task->phase == Phase::kEnded) {
       answer.state["outcome"] =
           NameOf(kOutcomeNames, static_cast<Outcome>(task->outcome.outcome));
@@ -457,17 +454,17 @@
       return;
     case TaskRunState::kStopped:
       if (task->cancelled) {
-        RecordEnd(task,
-                  {.outcome = static_cast<int>(Outcome::kUnknown),
-                   .code = static_cast<int>(
-                       ResultCode::kCancelledWhileRunning)});
+        RecordEnd(
+            task,
+            {.outcome = static_cast<int>(Outcome::kUnknown),
+             .code = static_cast<int>(ResultCode::kCancelledWhileRunning)});
       } else if (!task->idempotent) {
         RecordEnd(task, {.outcome = static_cast<int>(Outcome::kUnknown),
                          .code = static_cast<int>(ResultCode::kAnswerLost)});
       } else if (task->run >= kMostTaskRuns) {
-        RecordEnd(task, {.outcome = static_cast<int>(Outcome::kUnknown),
-                         .code = static_cast<int>(
-                             ResultCode::kTaskFailsEverywhere)});
+        RecordEnd(task,
+                  {.outcome = static_cast<int>(Outcome::kUnknown),
+                   .code = static_cast<int>(ResultCode::kTaskFailsEverywhere)});
       } else {
         Requeue(task);
       }
@@ -476,12 +473,9 @@
 }
 
 void TaskHome::RecordEnd(Task* task, const RecordedOutcome& outcome) {
-  const Json record = {{"kind", kEndRecord},
-                       {"task", task->id},
-                       {"run", task->run},
-                       {"outcome", outcome.outcome},
-                       {"code", outcome.code},
-                       {"body", outcome.body}};
+  const Json record = {{"kind", kEndRecord},   {"task", task->id},
+                       {"run", task->run},     {"outcome", outcome.outcome},
+                       {"code", outcome.code}, {"body", outcome.body}};
   task->settling = true;
   BucketFor(task->id)->journal->Append(
       record,
--- a/lib/Daemon/EntryDaemon.cc
+++ b/lib/Daemon/EntryDaemon.cc
@@ -159,22 +159,21 @@
   }
 
   RequestTable::TaskHandlers MakeTaskHandlers() {
-    return {.on_order =
-                [this](const DispatchOrder& order) {
-                  services_.directory.Run(
-                      ComponentKind::kTaskHome, [order](Component* component) {
-                        static_cast<TaskHome*>(component)->OnOrder(order);
-                      });
-                },
-            .on_finished =
-                [this](const std::string& id, const Answer& answer) {
-                  services_.directory.Run(
-                      ComponentKind::kTaskHome,
-                      [id, answer](Component* component) {
-                        static_cast<TaskHome*>(component)->OnFinished(id,
-                                                                      answer);
-                      });
-                }};
+    return {
+        .on_order =
+            [this](const DispatchOrder& order) {
+              services_.directory.Run(
+                  ComponentKind::kTaskHome, [order](Component* component) {
+                    static_cast<TaskHome*>(component)->OnOrder(order);
+                  });
+            },
+        .on_finished =
+            [this](const std::string& id, const Answer& answer) {
+              services_.directory.Run(
+                  ComponentKind::kTaskHome, [id, answer](Component* component) {
+                    static_cast<TaskHome*>(component)->OnFinished(id, answer);
+                  });
+            }};
   }
 
   void CheckRun(const WorkerInfo& worker, const std::string& id, int attempt) {
@@ -351,10 +350,9 @@
         ComponentKind::kFrontDoor, [](Component* component) {
           static_cast<FrontDoor*>(component)->StopAccepting();
         });
-    services_.directory.Run(
-        ComponentKind::kTaskHome, [](Component* component) {
-          static_cast<TaskHome*>(component)->StandDown();
-        });
+    services_.directory.Run(ComponentKind::kTaskHome, [](Component* component) {
+      static_cast<TaskHome*>(component)->StandDown();
+    });
     const TimePoint give_up =
         services_.clock.Now() + services_.settings.shutdown_timeout;
     bool drained = false;
--- a/lib/Daemon/EntryTasks.cc
+++ b/lib/Daemon/EntryTasks.cc
@@ -27,12 +27,11 @@
 
 void EntryTasks::Report(const std::string& request_id, int attempt,
                         const DispatchResult& result) {
-  services_->directory.Run(
-      ComponentKind::kFrontDoor,
-      [request_id, attempt, result](Component* component) {
-        static_cast<FrontDoor*>(component)->OnDispatched(request_id, attempt,
-                                                         result);
-      });
+  services_->directory.Run(ComponentKind::kFrontDoor,
+                           [request_id, attempt, result](Component* component) {
+                             static_cast<FrontDoor*>(component)->OnDispatched(
+                                 request_id, attempt, result);
+                           });
 }
 
 void EntryTasks::Start(const DispatchOrder& order, const std::string& body,
--- a/lib/Daemon/HttpFrontend.cc
+++ b/lib/Daemon/HttpFrontend.cc
@@ -7,6 +7,7 @@
 #include <thread>
 #include <utility>
 
+#include "CallerServer.h"
 #include "OperatorRoutes.h"
 #include "TaskRoutes.h"
 #include "basilusher/Support/Digest.h"
@@ -291,7 +292,7 @@
   }
 
   EntryServices* services_;
-  httplib::Server server_;
+  CallerServer server_;
   std::thread thread_;
 };
 
--- a/lib/Daemon/OperatorRoutes.cc
+++ b/lib/Daemon/OperatorRoutes.cc
@@ -4,6 +4,7 @@
 #include <future>
 #include <utility>
 
+#include "Explain.h"
 #include "basilusher/Support/Digest.h"
 
 namespace basilusher {
@@ -213,6 +214,20 @@
   WriteJson({{"keys", rows}}, response);
 }
 
+void ServeExplain(EntryServices* services, const httplib::Request& request,
+                  httplib::Response* response) {
+  const std::string name = request.get_param_value("name");
+  const std::vector<std::string> lines = Explain(services, name);
+  if (lines.empty()) {
+    WriteError(kStatusNotFound, ResultCode::kUnknownQueue,
+               "name: found \"" + name +
+                   "\"; expected: a queue, team, pool, worker or entry",
+               response);
+    return;
+  }
+  WriteJson({{"entry", services->self.instance}, {"lines", lines}}, response);
+}
+
 }  // namespace
 
 void AddOperatorRoutes(httplib::Server* server, EntryServices* services) {
@@ -233,6 +248,11 @@
                  if (!IsOperator(*services, request, &response)) return;
                  ServePublish(services, request, &response);
                });
+  server->Get("/operator/explain",
+              [services](const Request& request, Response& response) {
+                if (!IsOperator(*services, request, &response)) return;
+                ServeExplain(services, request, &response);
+              });
   server->Post("/operator/keys",
                [services](const Request& request, Response& response) {
                  if (!IsOperator(*services, request, &response)) return;
--- a/lib/Daemon/TaskRoutes.cc
+++ b/lib/Daemon/TaskRoutes.cc
@@ -59,12 +59,12 @@
 void WriteTaskError(ResultCode code, const std::string& text,
                     httplib::Response* response) {
   response->status = HttpStatusOf(Refuse(code, text));
-  response->set_content(Json{{"code", static_cast<int>(code)},
-                             {"name", ResultCodeName(code)},
-                             {"text", text}}
-                            .dump(-1, ' ', false,
-                                  Json::error_handler_t::replace),
-                        "application/json");
+  response->set_content(
+      Json{{"code", static_cast<int>(code)},
+           {"name", ResultCodeName(code)},
+           {"text", text}}
+          .dump(-1, ' ', false, Json::error_handler_t::replace),
+      "application/json");
 }
 
 void WriteTaskAnswer(const TaskAnswer& answer, int status,
@@ -75,9 +75,9 @@
     return;
   }
   response->status = status;
-  response->set_content(answer.state.dump(-1, ' ', false,
-                                          Json::error_handler_t::replace),
-                        "application/json");
+  response->set_content(
+      answer.state.dump(-1, ' ', false, Json::error_handler_t::replace),
+      "application/json");
 }
 
 TaskAsk SubmitAsk(EntryServices* services, const httplib::Request& request) {
@@ -111,16 +111,15 @@
 void AddTaskRoutes(httplib::Server* server, EntryServices* services) {
   using Request = httplib::Request;
   using Response = httplib::Response;
-  server->Post(
-      R"(/v1/queues/([^/]+)/tasks)",
-      [services](const Request& request, Response& response) {
-        try {
-          WriteTaskAnswer(services->tasks->Call(SubmitAsk(services, request)),
-                          kAcceptedStatus, &response);
-        } catch (const Error& error) {
-          WriteTaskError(error.Code(), error.what(), &response);
-        }
-      });
+  server->Post(R"(/v1/queues/([^/]+)/tasks)", [services](const Request& request,
+                                                         Response& response) {
+    try {
+      WriteTaskAnswer(services->tasks->Call(SubmitAsk(services, request)),
+                      kAcceptedStatus, &response);
+    } catch (const Error& error) {
+      WriteTaskError(error.Code(), error.what(), &response);
+    }
+  });
   const auto call = [services](TaskOperation operation, const Request& request,
                                Response* response) {
     try {
--- a/lib/Daemon/WorkerClient.cc
+++ b/lib/Daemon/WorkerClient.cc
@@ -204,9 +204,8 @@
       client.Post("/task/start/" + order.request_id, headers, body,
                   "application/octet-stream");
   if (!result) {
-    const bool unreached =
-        result.error() == httplib::Error::Connection ||
-        result.error() == httplib::Error::ConnectionTimeout;
+    const bool unreached = result.error() == httplib::Error::Connection ||
+                           result.error() == httplib::Error::ConnectionTimeout;
     return unreached ? DispatchStatus::kUnreachable : DispatchStatus::kLost;
   }
   return result->status == kStartedStatus ? DispatchStatus::kAnswered
--- a/lib/Standin/WorkerServer.cc
+++ b/lib/Standin/WorkerServer.cc
@@ -81,33 +81,33 @@
   }
 
   void AddTaskRoutes() {
-    http_.Post(R"(/task/start/([^/]+))", "run",
-               [this](const httplib::Request& request,
-                      httplib::Response& response) {
-                 const RunRecord run = RecordOf(request);
-                 const std::lock_guard<std::mutex> lock(mutex_);
-                 if (core_.StartTask(run, Millis(WorkMillis(run.tag)),
-                                     LeaseOf(request), clock_.Now())) {
-                   return;
-                 }
-                 response.status = kNotRunStatus;
-                 response.set_header("X-Not-Run", "1");
-               });
-    http_.Post(R"(/task/renew/([^/]+))", "task",
-               [this](const httplib::Request& request,
-                      httplib::Response& response) {
-                 const std::lock_guard<std::mutex> lock(mutex_);
-                 WriteState(core_.RenewTask(request.matches[1],
-                                            LeaseOf(request), clock_.Now()),
-                            &response);
-               });
-    http_.Post(R"(/task/stop/([^/]+))", "task",
-               [this](const httplib::Request& request,
-                      httplib::Response& response) {
-                 const std::lock_guard<std::mutex> lock(mutex_);
-                 WriteState(core_.StopTask(request.matches[1], clock_.Now()),
-                            &response);
-               });
+    http_.Post(
+        R"(/task/start/([^/]+))", "run",
+        [this](const httplib::Request& request, httplib::Response& response) {
+          const RunRecord run = RecordOf(request);
+          const std::lock_guard<std::mutex> lock(mutex_);
+          if (core_.StartTask(run, Millis(WorkMillis(run.tag)),
+                              LeaseOf(request), clock_.Now())) {
+            return;
+          }
+          response.status = kNotRunStatus;
+          response.set_header("X-Not-Run", "1");
+        });
+    http_.Post(
+        R"(/task/renew/([^/]+))", "task",
+        [this](const httplib::Request& request, httplib::Response& response) {
+          const std::lock_guard<std::mutex> lock(mutex_);
+          WriteState(core_.RenewTask(request.matches[1], LeaseOf(request),
+                                     clock_.Now()),
+                     &response);
+        });
+    http_.Post(
+        R"(/task/stop/([^/]+))", "task",
+        [this](const httplib::Request& request, httplib::Response& response) {
+          const std::lock_guard<std::mutex> lock(mutex_);
+          WriteState(core_.StopTask(request.matches[1], clock_.Now()),
+                     &response);
+        });
   }
 
   static Millis LeaseOf(const httplib::Request& request) {
--- a/unittests/Control/Bench.cc
+++ b/unittests/Control/Bench.cc
@@ -37,21 +37,24 @@
   }
   void Swap(StorePurpose /*purpose*/, const SwapRequest& request,
             StoreCallback done) override {
-    Write("swap " + request.key,
-          [this, request] { return bench_->store.Swap(request); },
-          std::move(done));
+    Write(
+        "swap " + request.key,
+        [this, request] { return bench_->store.Swap(request); },
+        std::move(done));
   }
   void KeepLease(const std::string& id, Millis ttl,
                  StoreCallback done) override {
-    Write("lease",
-          [this, id, ttl] {
-            return bench_->store.KeepLease(id, ttl, bench_->clock.Now());
-          },
-          std::move(done));
+    Write(
+        "lease",
+        [this, id, ttl] {
+          return bench_->store.KeepLease(id, ttl, bench_->clock.Now());
+        },
+        std::move(done));
   }
   void EndLease(const std::string& id, StoreCallback done) override {
-    Write("lease", [this, id] { return bench_->store.EndLease(id); },
-          std::move(done));
+    Write(
+        "lease", [this, id] { return bench_->store.EndLease(id); },
+        std::move(done));
   }
 
  private:
@@ -101,35 +104,34 @@
                         {"rollOutTime", 1},
                         {"moves", 1},
                         {"closenessToShare", 1}};
-  return {
-      {"deployment",
-       {{"name", "bench"}, {"sparePool", "spare"}, {"weights", weights}}},
-      {"teams",
-       {{"a", {{"share", 2}, {"limit", limit_a}}},
-        {"b", {{"share", 1}, {"limit", kLimitB}}}}},
-      {"services",
-       {{"main",
-         {{"service", "main"},
-          {"pool", "main"},
-          {"availabilityBudget", 1},
-          {"workers", {"w1", "w2"}},
-          {"queues",
-           {{"many",
-             {{"class", "urgent"},
-              {"deadlineMillis", 4000},
-              {"idempotent", true},
-              {"teams", {"a", "b"}}}},
-            {"once",
-             {{"class", "standard"},
-              {"deadlineMillis", 4000},
-              {"idempotent", false},
-              {"teams", {"a", "b"}}}}}}}},
-        {"spare",
-         {{"service", "spare"},
-          {"pool", "spare"},
-          {"availabilityBudget", 1},
-          {"workers", {"w3"}},
-          {"queues", Json::object()}}}}}};
+  return {{"deployment",
+           {{"name", "bench"}, {"sparePool", "spare"}, {"weights", weights}}},
+          {"teams",
+           {{"a", {{"share", 2}, {"limit", limit_a}}},
+            {"b", {{"share", 1}, {"limit", kLimitB}}}}},
+          {"services",
+           {{"main",
+             {{"service", "main"},
+              {"pool", "main"},
+              {"availabilityBudget", 1},
+              {"workers", {"w1", "w2"}},
+              {"queues",
+               {{"many",
+                 {{"class", "urgent"},
+                  {"deadlineMillis", 4000},
+                  {"idempotent", true},
+                  {"teams", {"a", "b"}}}},
+                {"once",
+                 {{"class", "standard"},
+                  {"deadlineMillis", 4000},
+                  {"idempotent", false},
+                  {"teams", {"a", "b"}}}}}}}},
+            {"spare",
+             {{"service", "spare"},
+              {"pool", "spare"},
+              {"availabilityBudget", 1},
+              {"workers", {"w3"}},
+              {"queues", Json::object()}}}}}};
 }
 
 Node::Node(Bench* owner, const std::string& instance, std::int64_t incarnation)
@@ -158,10 +160,9 @@
       bench->OnStep({std::string(KindOf(message)), info.instance});
   if (!alive) return;
   const PeerId from{info.instance, info.incarnation};
-  const auto deliver = [this, from, to, bytes = EncodeEnvelope(
-                                            {.from = from,
-                                             .trace = "",
-                                             .message = message})] {
+  const auto deliver = [this, from, to,
+                        bytes = EncodeEnvelope(
+                            {.from = from, .trace = "", .message = message})] {
     const auto it = bench->nodes.find(to);
     if (it == bench->nodes.end()) return;
     Node* receiver = it->second.get();
@@ -186,8 +187,7 @@
 
 void Node::Tick() {
   // What the store's watch would have brought.
-  if (!bench->store_down && !store_cut &&
-      bench->store_delay < Millis(500)) {
+  if (!bench->store_down && !store_cut && bench->store_delay < Millis(500)) {
     const std::vector<StoreEntry> changes = bench->store.ChangesAfter(
         {kMemberPrefix, kIntentHeadKey, kKeysKey}, watch_revision);
     watch_revision = bench->store.Revision();
@@ -216,57 +216,60 @@
       front->OnDispatched(order.request_id, order.attempt, result);
     });
   };
-  bench->ForNode(this, kNetworkDelay + effect.delay, [this, order, report, kind] {
-    // The caller's thread checks the order's age before it sends the bytes.
-    if (bench->clock.Now() > order.send_before) {
-      report(Millis(0), {.status = DispatchStatus::kNotSent});
-      return;
-    }
-    if (workers_cut) {
-      report(Millis(100), {.status = DispatchStatus::kUnreachable});
-      return;
-    }
-    const Call& call = bench->calls.at(order.request_id);
-    const RunRecord run{.request_id = order.request_id,
-                        .attempt = order.attempt,
-                        .team = order.team,
-                        .holder = ToString({info.instance, info.incarnation}),
-                        .tag = call.tag};
-    WorkerCore* worker = &bench->workers.at(order.worker.id);
-    if (!worker->Start(run)) {
-      report(kNetworkDelay, {.status = DispatchStatus::kRefused});
-      return;
-    }
-    const auto withdrawn = bench->withdrawn.find(call.team);
-    if (withdrawn != bench->withdrawn.end() &&
-        bench->clock.Now() - withdrawn->second > kWithdrawalBound) {
-      bench->broken.push_back(
-          "work started with a withdrawn key: " + call.tag + " at " +
-          info.instance + " " +
-          std::to_string((bench->clock.Now() - withdrawn->second).count()) +
-          " ms after, now " +
-          std::to_string(bench->clock.Now().time_since_epoch().count()));
-    }
-    if (order.team != call.team) {
-      bench->broken.push_back("run for another team: " + call.tag);
-    }
-    const bool is_long = call.tag.find("long") != std::string::npos;
-    const Millis work(is_long ? kLongWorkMs : kWorkMs);
-    bench->At(work, [this, order, worker, report, kind, work,
-                     tag = call.tag] {
-      worker->Finish(order.request_id, order.attempt, 0);
-      const Effect answer = bench->OnStep({"answer " + kind, info.instance});
-      if (workers_cut || answer.lose_answer) {
-        report(Millis(500), {.status = DispatchStatus::kLost});
-        return;
-      }
-      report(kNetworkDelay + answer.delay,
-             {.status = DispatchStatus::kAnswered,
-              .http_status = 200,
-              .body = "answer to " + tag,
-              .service = work});
-    });
-  });
+  bench->ForNode(
+      this, kNetworkDelay + effect.delay, [this, order, report, kind] {
+        // The caller's thread checks the order's age before it sends the bytes.
+        if (bench->clock.Now() > order.send_before) {
+          report(Millis(0), {.status = DispatchStatus::kNotSent});
+          return;
+        }
+        if (workers_cut) {
+          report(Millis(100), {.status = DispatchStatus::kUnreachable});
+          return;
+        }
+        const Call& call = bench->calls.at(order.request_id);
+        const RunRecord run{
+            .request_id = order.request_id,
+            .attempt = order.attempt,
+            .team = order.team,
+            .holder = ToString({info.instance, info.incarnation}),
+            .tag = call.tag};
+        WorkerCore* worker = &bench->workers.at(order.worker.id);
+        if (!worker->Start(run)) {
+          report(kNetworkDelay, {.status = DispatchStatus::kRefused});
+          return;
+        }
+        const auto withdrawn = bench->withdrawn.find(call.team);
+        if (withdrawn != bench->withdrawn.end() &&
+            bench->clock.Now() - withdrawn->second > kWithdrawalBound) {
+          bench->broken.push_back(
+              "work started with a withdrawn key: " + call.tag + " at " +
+              info.instance + " " +
+              std::to_string((bench->clock.Now() - withdrawn->second).count()) +
+              " ms after, now " +
+              std::to_string(bench->clock.Now().time_since_epoch().count()));
+        }
+        if (order.team != call.team) {
+          bench->broken.push_back("run for another team: " + call.tag);
+        }
+        const bool is_long = call.tag.find("long") != std::string::npos;
+        const Millis work(is_long ? kLongWorkMs : kWorkMs);
+        bench->At(work,
+                  [this, order, worker, report, kind, work, tag = call.tag] {
+                    worker->Finish(order.request_id, order.attempt, 0);
+                    const Effect answer =
+                        bench->OnStep({"answer " + kind, info.instance});
+                    if (workers_cut || answer.lose_answer) {
+                      report(Millis(500), {.status = DispatchStatus::kLost});
+                      return;
+                    }
+                    report(kNetworkDelay + answer.delay,
+                           {.status = DispatchStatus::kAnswered,
+                            .http_status = 200,
+                            .body = "answer to " + tag,
+                            .service = work});
+                  });
+      });
 }
 
 void Node::Finish(const std::string& request_id, const Answer& answer) {
@@ -281,9 +284,8 @@
   bench->At(kNetworkDelay, [this, id = worker.id, request_id, attempt] {
     const bool running = bench->workers.at(id).BarRun(request_id, attempt);
     bench->ForNode(this, kNetworkDelay, [this, request_id, attempt, running] {
-      front->OnRunChecked(
-          request_id, attempt,
-          running ? RunState::kRunning : RunState::kNotRunning);
+      front->OnRunChecked(request_id, attempt,
+                          running ? RunState::kRunning : RunState::kNotRunning);
     });
   });
 }
@@ -369,9 +371,9 @@
 int Bench::RunsOf(const std::string& tag) const {
   int runs = 0;
   for (const auto& row : workers) {
-    runs += static_cast<int>(std::count_if(
-        row.second.Records().begin(), row.second.Records().end(),
-        [&tag](const RunRecord& run) { return run.tag == tag; }));
+    runs += static_cast<int>(
+        std::count_if(row.second.Records().begin(), row.second.Records().end(),
+                      [&tag](const RunRecord& run) { return run.tag == tag; }));
   }
   return runs;
 }
@@ -523,8 +525,7 @@
   Node* node = Get(name);
   if (!node->alive || !node->paused) return;
   node->paused = false;
-  const std::vector<std::function<void()>> held =
-      std::exchange(node->held, {});
+  const std::vector<std::function<void()>> held = std::exchange(node->held, {});
   for (const std::function<void()>& work : held) ForNode(node, Millis(0), work);
 }
 
--- a/unittests/Control/Bench.h
+++ b/unittests/Control/Bench.h
@@ -54,8 +54,7 @@
   void Finish(const std::string& request_id, const Answer& answer) override;
   void CheckRun(const WorkerInfo& worker, const std::string& request_id,
                 int attempt) override;
-  void ProveGone(const PeerId& holder,
-                 std::function<void(bool)> done) override;
+  void ProveGone(const PeerId& holder, std::function<void(bool)> done) override;
   void Deliver(const PeerId& from, const Message& message);
   void Tick();
 
--- a/unittests/Control/FaultMatrixTest.cc
+++ b/unittests/Control/FaultMatrixTest.cc
@@ -169,10 +169,9 @@
 bool Applies(Step step, FaultColumn fault, std::string* reason) {
   const std::string_view name = NameOf(kSteps, step);
   const bool is_call = name.compare(0, 5, "swap ") == 0;
-  const bool is_answer =
-      step == Step::kAnswerMany || step == Step::kAnswerOnce;
-  const bool is_work = is_answer || step == Step::kDispatchMany ||
-                       step == Step::kDispatchOnce;
+  const bool is_answer = step == Step::kAnswerMany || step == Step::kAnswerOnce;
+  const bool is_work =
+      is_answer || step == Step::kDispatchMany || step == Step::kDispatchOnce;
   if (fault == FaultColumn::kAnswerLost && !is_call && !is_answer) {
     *reason = "the step has no answer of its own; a lost message is cut-to-...";
     return false;
@@ -364,7 +363,8 @@
     bench.hook = [&](const StepEvent& event) -> Effect {
       constexpr std::size_t kMostStrikes = 4;
       constexpr std::uint64_t kChance = 400;
-      if (!armed || strikes.size() >= kMostStrikes || dice.Next() % kChance != 0) {
+      if (!armed || strikes.size() >= kMostStrikes ||
+          dice.Next() % kChance != 0) {
         return {};
       }
       const auto& fault = kFaults[dice.Next() % kFaults.size()];
--- a/unittests/Model/ModelTest.cc
+++ b/unittests/Model/ModelTest.cc
@@ -76,8 +76,8 @@
 
 rc::Gen<KeySet> Keys() {
   return rc::gen::map(
-      rc::gen::container<std::vector<std::pair<int, bool>>>(rc::gen::pair(
-          rc::gen::inRange(0, 6), rc::gen::arbitrary<bool>())),
+      rc::gen::container<std::vector<std::pair<int, bool>>>(
+          rc::gen::pair(rc::gen::inRange(0, 6), rc::gen::arbitrary<bool>())),
       [](const std::vector<std::pair<int, bool>>& steps) {
         KeySet keys;
         for (const std::pair<int, bool>& step : steps) {
@@ -125,7 +125,8 @@
   keys.Add("id", {.team = "a", .hash = KeyHash("id.secret")});
   EXPECT_EQ(keys.Find("id.secret").state, KeyState::kValid);
   EXPECT_EQ(keys.Find("id.secret").team, "a");
-  for (const char* wrong : {"", "id", "id.", "id.secret2", "x.secret", ".secret"}) {
+  for (const char* wrong :
+       {"", "id", "id.", "id.secret2", "x.secret", ".secret"}) {
     EXPECT_EQ(keys.Find(wrong).state, KeyState::kUnknown) << wrong;
   }
 }
--- a/unittests/Store/StoreContractTest.cc
+++ b/unittests/Store/StoreContractTest.cc
@@ -110,12 +110,11 @@
   const StoreReply made = store_->Swap({.key = "k", .value = "v"});
   EXPECT_EQ(store_->Swap({.key = "k", .erase = true}).status,
             StoreStatus::kConflict);
-  EXPECT_EQ(store_
-                ->Swap({.key = "k",
-                        .expected_version = made.version,
-                        .erase = true})
-                .status,
-            StoreStatus::kOk);
+  EXPECT_EQ(
+      store_
+          ->Swap({.key = "k", .expected_version = made.version, .erase = true})
+          .status,
+      StoreStatus::kOk);
   EXPECT_EQ(store_->Get("k").status, StoreStatus::kNotFound);
 }
 
@@ -163,8 +162,7 @@
   HttpStore store({.address = "127.0.0.1", .port = port});
   for (const FaultRow& row : rows) {
     const std::string key = std::string(NameOf(kFaultNames, row.kind));
-    server.Faults()->Add(
-        {.operation = "swap", .kind = row.kind, .calls = 1});
+    server.Faults()->Add({.operation = "swap", .kind = row.kind, .calls = 1});
     EXPECT_EQ(store.Swap({.key = key, .value = "v"}).status, row.write) << key;
     EXPECT_EQ(store.Get(key).status == StoreStatus::kOk, row.took_effect)
         << key;
--- a/unittests/Wire/EnvelopeTest.cc
+++ b/unittests/Wire/EnvelopeTest.cc
@@ -1,7 +1,7 @@
 // The envelope's codec: round trips, and any bytes at all.
-#include "basilusher/Wire/Envelope.h"
-
 #include <gtest/gtest.h>
+
+#include "basilusher/Wire/Envelope.h"
 // The property library's bridge needs the test library first.
 #include <rapidcheck/gtest.h>
 
@@ -22,8 +22,7 @@
           SlotGrant{"r", 1, "w"},
           SlotRefusal{"r", 1, 301, 50},
           SlotHeld{.pool = "p", .request_id = "r"},
-          SlotDone{.pool = "p", .request_id = "r",
-                   .result = SlotResult::kLost},
+          SlotDone{.pool = "p", .request_id = "r", .result = SlotResult::kLost},
           PlaceAsk{.team = "t", .term = 2, .sequence = 9, .ceiling = 3},
           PlaceAnswer{.team = "t", .term = 2, .sequence = 9, .ceiling = 4},
           PlaceTerm{"t", 2, {"e", 5}},
@@ -40,8 +39,8 @@
   const std::vector<Message> messages = OneOfEach();
   ASSERT_EQ(messages.size(), std::variant_size_v<Message>);
   for (const Message& message : messages) {
-    const std::string bytes = EncodeEnvelope(
-        {.from = {"e", 7}, .trace = "t", .message = message});
+    const std::string bytes =
+        EncodeEnvelope({.from = {"e", 7}, .trace = "t", .message = message});
     const Envelope envelope = DecodeEnvelope(bytes);
     EXPECT_EQ(envelope.message.index(), message.index());
     EXPECT_EQ(EncodeEnvelope(envelope), bytes) << KindOf(message);
@@ -67,10 +66,10 @@
   SeededRandom random(20261204);
   const std::vector<Message> messages = OneOfEach();
   for (int n = 0; n < kRounds; ++n) {
-    std::string bytes = EncodeEnvelope(
-        {.from = {"e", 7},
-         .trace = "t",
-         .message = messages[random.Next() % messages.size()]});
+    std::string bytes =
+        EncodeEnvelope({.from = {"e", 7},
+                        .trace = "t",
+                        .message = messages[random.Next() % messages.size()]});
     const std::uint64_t changes = random.Next() % 4 + 1;
     for (std::uint64_t change = 0; change < changes; ++change) {
       bytes[random.Next() % bytes.size()] = static_cast<char>(random.Next());
