--- a/include/basilusher/Control/FrontDoor.h
+++ b/include/basilusher/Control/FrontDoor.h
@@ -76,6 +76,9 @@
   /// later; answers through FrontDoor::OnRunChecked.
   virtual void CheckRun(const WorkerInfo& worker, const std::string& request_id,
                         int attempt) = 0;
+  /// Asks the task home to stop a task's run, so that its team comes under a
+  /// lowered limit; the task waits and runs again.
+  virtual void StopRun(const std::string& request_id) = 0;
 };
 
 /// What a worker said about one attempt.
@@ -172,6 +175,7 @@
   void RecordOutcome(const Request& request, const Answer& answer);
   void TickRequest(Request* request);
   void TickLost();
+  void StopRunsOverLimit();
   void TickUnacked();
   void AnnounceHeldSlots();
   std::string HomeFor(const Request& request) const;
--- a/include/basilusher/Control/PlaceHolder.h
+++ b/include/basilusher/Control/PlaceHolder.h
@@ -24,6 +24,8 @@
   void SetWaiting(const std::string& team, int waiting);
   /// Whether a place in use still lies under the limit in force.
   bool StillAllowed(const std::string& team) const;
+  /// Places in use beyond what the limit in force leaves this holder.
+  int ExcessOf(const std::string& team) const;
   int InUse(const std::string& team) const;
   int Ceiling(const std::string& team) const;
 
@@ -49,6 +51,7 @@
 
   int LimitOf(const std::string& team) const;
   int Usable(const std::string& team, const TeamPlaces& places) const;
+  int Scaled(const std::string& team, const TeamPlaces& places) const;
   void Lower(TeamPlaces* places, int ceiling);
   void Ask(const std::string& team, TeamPlaces* places);
   void OnAnswer(const PeerId& from, const PlaceAnswer& answer);
--- a/include/basilusher/Control/Routing.h
+++ b/include/basilusher/Control/Routing.h
@@ -19,9 +19,10 @@
   kClaimHome,
   kFrontDoor,
   kTaskHome,
+  kFleet,
 };
 
-inline constexpr std::size_t kComponentCount = 7;
+inline constexpr std::size_t kComponentCount = 8;
 
 inline constexpr EnumTable<ComponentKind, kComponentCount> kComponentNames = {{
     {ComponentKind::kMembership, "membership"},
@@ -31,6 +32,7 @@
     {ComponentKind::kClaimHome, "claim-home"},
     {ComponentKind::kFrontDoor, "front-door"},
     {ComponentKind::kTaskHome, "task-home"},
+    {ComponentKind::kFleet, "fleet"},
 }};
 
 /// Components that handle `message`. Thread-safe.
--- a/include/basilusher/Control/StoreChanges.h
+++ b/include/basilusher/Control/StoreChanges.h
@@ -11,6 +11,7 @@
 inline constexpr char kMemberPrefix[] = "member/";
 inline constexpr char kIntentHeadKey[] = "intent/head";
 inline constexpr char kKeysKey[] = "keys";
+inline constexpr char kFleetPrefix[] = "fleet/";
 
 /// Result of one wait on the store's watch.
 struct StoreChanges {
--- a/include/basilusher/Control/TaskHome.h
+++ b/include/basilusher/Control/TaskHome.h
@@ -79,6 +79,8 @@
   void OnTick() override;
   /// The front door ordered a run to start at a worker.
   void OnOrder(const DispatchOrder& order);
+  /// Stops a run; its task is run again later.
+  void StopRun(const std::string& request_id);
   /// The front door is done with a run.
   void OnFinished(const std::string& request_id, const Answer& answer);
   /// Starts no more runs; those in progress are stopped, to be taken up by
--- a/include/basilusher/Daemon/RequestTable.h
+++ b/include/basilusher/Daemon/RequestTable.h
@@ -68,6 +68,7 @@
     std::function<void(const DispatchOrder& order)> on_order;
     std::function<void(const std::string& request_id, const Answer& answer)>
         on_finished;
+    std::function<void(const std::string& request_id)> on_stop;
   };
 
   /// `check` asks a worker about an attempt without blocking.
@@ -81,6 +82,9 @@
   void Finish(const std::string& request_id, const Answer& answer) override;
   void CheckRun(const WorkerInfo& worker, const std::string& request_id,
                 int attempt) override;
+  void StopRun(const std::string& request_id) override {
+    tasks_.on_stop(request_id);
+  }
 
  private:
   std::shared_ptr<Exchange> Find(const std::string& request_id);
--- a/include/basilusher/Daemon/WorkerClient.h
+++ b/include/basilusher/Daemon/WorkerClient.h
@@ -15,8 +15,13 @@
 
 namespace basilusher {
 
-/// Connections of one entry to one worker: the worker's connections are shared
-/// by `entries` entries and one that may be joining. Thread-safe.
+/// Connections that an entry may open to one worker beside those for requests:
+/// checks, bars and tasks.
+inline constexpr int kControlConnections = 2;
+
+/// Connections of one entry to one worker for requests: the worker's
+/// connections are shared by `entries` entries and one that may be joining, and
+/// each keeps kControlConnections apart. Thread-safe.
 int ConnectionShare(int connections, int entries);
 
 /// Blocking calls. Thread-safe.
@@ -43,6 +48,11 @@
   /// Stops a task's run and bars it from starting later.
   TaskRunReport StopTask(const WorkerInfo& worker,
                          const std::string& request_id);
+  /// Stops new work on `worker` under the token `fence`; returns what still
+  /// runs, -1 if it does not answer or refuses.
+  int Drain(const WorkerInfo& worker, std::int64_t fence);
+  /// Lets `worker` take work again; returns whether it answered.
+  bool Admit(const WorkerInfo& worker, std::int64_t fence);
   /// Runs in progress for `holder` on `worker`, and bars the holder; -1 if the
   /// worker does not answer.
   int BarHolder(const WorkerInfo& worker, const std::string& holder);
--- a/include/basilusher/Model/ClusterView.h
+++ b/include/basilusher/Model/ClusterView.h
@@ -27,6 +27,11 @@
   int slots = 8;
   int connections = 64;
   bool leaving = false;
+  /// Whether the platform wants to reboot it once it is drained.
+  bool wants_maintenance = false;
+  bool rebooting = false;
+  /// Maintenances it has had.
+  std::int64_t maintained = 0;
 
   friend bool operator==(const WorkerInfo&, const WorkerInfo&) = default;
 };
@@ -44,8 +49,25 @@
   friend bool operator==(const EntryInfo&, const EntryInfo&) = default;
 };
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerInfo, id, address, port, data_centre,
-                                   rack, slots, connections, leaving)
+/// The pool of one instance.
+struct Assignment {
+  std::string pool;
+  /// Grows with each move.
+  std::int64_t generation = 0;
+
+  friend bool operator==(const Assignment&, const Assignment&) = default;
+};
+
+/// Pool of every instance: an instance is in exactly one pool since it has one
+/// row in one document.
+using Assignments = std::map<std::string, Assignment>;
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Assignment, pool, generation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerInfo, id, address, port,
+                                                data_centre, rack, slots,
+                                                connections, leaving,
+                                                wants_maintenance, rebooting,
+                                                maintained)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EntryInfo, instance, incarnation, address,
                                    http_port, peer_port, data_centre)
 
@@ -63,6 +85,10 @@
   std::set<std::string> listed_entries;
   /// Workers that the platform lists, by id.
   std::map<std::string, WorkerInfo> workers;
+  /// Pool of every instance; null until it is known.
+  std::shared_ptr<const Assignments> assignments;
+  /// Instances that hold a place in their pool's budget and get no new work.
+  std::set<std::string> draining;
   /// Highest intent version heard of; work is not served by a lower one.
   std::int64_t heard_version = 0;
   /// Until this reading of its own clock the entry knows of withdrawals; after
--- a/include/basilusher/Standin/WorkerCore.h
+++ b/include/basilusher/Standin/WorkerCore.h
@@ -62,6 +62,13 @@
   int BarHolder(const std::string& holder);
   /// Refuses new runs from now on.
   void Leave() { leaving_ = true; }
+  /// Refuses new runs under the token `fence`; returns what runs, -1 if the
+  /// worker was admitted under that token or a higher one.
+  int Drain(std::int64_t fence);
+  /// Takes new runs again and bars drains up to the token `fence`.
+  void Admit(std::int64_t fence);
+  /// Comes back from a reboot: takes runs and has forgotten all tokens.
+  void Reboot();
   bool Leaving() const { return leaving_; }
   int Running() const { return static_cast<int>(running_.size()); }
   int RunningOf(const std::string& team) const;
@@ -80,6 +87,8 @@
 
   int slots_;
   bool leaving_ = false;
+  std::int64_t drain_fence_ = 0;
+  std::int64_t admit_fence_ = 0;
   int peak_ = 0;
   /// Index of each run in progress in `records_`.
   std::map<RunKey, std::size_t> running_;
--- a/include/basilusher/Store/HttpStore.h
+++ b/include/basilusher/Store/HttpStore.h
@@ -48,6 +48,9 @@
   WatchReply Watch(const std::vector<std::string>& prefixes,
                    std::int64_t revision, Millis wait);
   InstanceLists ListInstances();
+  /// Lets the platform reboot a drained instance while its count of
+  /// maintenances is `maintained`; returns whether the platform answered.
+  bool ReleaseInstance(const std::string& id, std::int64_t maintained);
 
  private:
   class Connection;
--- /dev/null
+++ b/lib/Control/FleetAgent.cc
@@ -0,0 +1,242 @@
+// Steps of maintenance and moves against the store, workers and platform.
+#include "basilusher/Control/FleetAgent.h"
+
+#include <utility>
+#include <vector>
+
+namespace basilusher {
+namespace {
+
+constexpr Millis kRoundPeriod{250};
+
+}  // namespace
+
+std::string FleetSubject(const std::string& pool) { return "fleet/" + pool; }
+
+FleetAgent::FleetAgent(Context context, FleetPort* port)
+    : context_(std::move(context)), port_(port) {}
+
+void FleetAgent::OnMessage(const PeerId& /*from*/, const Message& /*message*/) {
+}
+
+bool FleetAgent::IsHome(const std::string& subject) const {
+  return HomeOrSelf(context_, subject) == context_.self.instance;
+}
+
+void FleetAgent::OnStoreChanges(const StoreChanges& changes) {
+  // The first answer of a watch is complete, so that an absent document is
+  // known to be absent.
+  assignments_known_ = true;
+  const std::string prefix = kPoolPrefix;
+  for (const StoreEntry& entry : changes.entries) {
+    if (entry.version == 0) continue;
+    if (entry.key == kAssignmentKey && entry.version > assignment_version_) {
+      assignment_version_ = entry.version;
+      assignments_ = Json::parse(entry.value).get<Assignments>();
+    }
+    if (entry.key.compare(0, prefix.size(), prefix) != 0) continue;
+    PoolState& state = pools_[entry.key.substr(prefix.size())];
+    if (entry.version <= state.version) continue;
+    state.version = entry.version;
+    state.record = Json::parse(entry.value).get<PoolRecord>();
+  }
+  UpdateView();
+}
+
+void FleetAgent::UpdateView() {
+  std::set<std::string> draining;
+  for (const auto& pool : pools_) {
+    for (const auto& place : pool.second.record.places) {
+      draining.insert(place.first);
+    }
+  }
+  const ViewPtr view = context_.views->Current();
+  if (view->draining == draining && view->assignments != nullptr &&
+      *view->assignments == assignments_) {
+    return;
+  }
+  context_.views->Update([&](ClusterView* next) {
+    next->draining = std::move(draining);
+    next->assignments = std::make_shared<const Assignments>(assignments_);
+  });
+}
+
+void FleetAgent::OnTick() {
+  const TimePoint now = context_.clock->Now();
+  const ViewPtr view = context_.views->Current();
+  if (standing_down_ || now < next_round_ || view->intent == nullptr) return;
+  next_round_ = now + kRoundPeriod;
+  if (!assignments_known_) return;
+  TickAssignments();
+  for (const auto& row : view->intent->pools) {
+    if (IsHome(FleetSubject(row.first))) {
+      TickPool(row.first, row.second.availability_budget);
+    }
+  }
+}
+
+void FleetAgent::TickAssignments() {
+  if (assignments_busy_ || !IsHome(FleetSubject(""))) return;
+  const ViewPtr view = context_.views->Current();
+  const Assignments next = WithNewInstances(assignments_, *view->intent);
+  if (next != assignments_) SwapAssignments(next);
+}
+
+void FleetAgent::SwapAssignments(const Assignments& next) {
+  assignments_busy_ = true;
+  context_.store->Swap(StorePurpose::kBackground,
+                       {.key = kAssignmentKey,
+                        .expected_version = assignment_version_,
+                        .value = Json(next).dump()},
+                       [this, next](const StoreReply& reply) {
+                         assignments_busy_ = false;
+                         if (reply.status != StoreStatus::kOk ||
+                             reply.version <= assignment_version_) {
+                           // The watch brings what was written, by whomever.
+                           return;
+                         }
+                         assignment_version_ = reply.version;
+                         assignments_ = next;
+                         UpdateView();
+                       });
+}
+
+std::vector<std::string> FleetAgent::MarkedUnderPlace(const PoolState& state,
+                                                      const Marks& marks) {
+  std::vector<std::string> names;
+  for (const auto& row : marks) {
+    // A mark under an earlier place says nothing about the present one.
+    const auto place = state.record.places.find(row.first);
+    if (place != state.record.places.end() && place->second == row.second) {
+      names.push_back(row.first);
+    }
+  }
+  return names;
+}
+
+PoolSituation FleetAgent::SituationOf(const std::string& pool,
+                                      int budget) const {
+  const ViewPtr view = context_.views->Current();
+  PoolSituation situation{
+      .pool = pool, .budget = budget, .listed = view->workers};
+  const auto state = pools_.find(pool);
+  if (state != pools_.end()) {
+    situation.record = state->second.record;
+    situation.drained = MarkedUnderPlace(state->second, state->second.drained);
+    situation.admitted =
+        MarkedUnderPlace(state->second, state->second.admitted);
+  }
+  for (const auto& row : assignments_) {
+    if (row.second.pool == pool) situation.members.push_back(row.first);
+  }
+  for (const auto& row : view->intent->pools) {
+    for (const std::string& instance : row.second.workers) {
+      situation.wanted_pools[instance] = row.first;
+    }
+  }
+  return situation;
+}
+
+void FleetAgent::TickPool(const std::string& pool, int budget) {
+  // Before the platform has listed anything every member would look lost.
+  if (context_.views->Current()->workers.empty()) return;
+  for (const FleetAction& action : DecidePool(SituationOf(pool, budget))) {
+    Act(pool, action);
+  }
+}
+
+void FleetAgent::Act(const std::string& pool, const FleetAction& action) {
+  const ViewPtr view = context_.views->Current();
+  const auto worker = view->workers.find(action.instance);
+  PoolState& state = pools_[pool];
+  PoolRecord next = state.record;
+  switch (action.step) {
+    case FleetStep::kTakePlace:
+      next.places[action.instance] = action.place;
+      next.places[action.instance].fence =
+          NextFence(state.record, assignments_[action.instance].generation);
+      ++next.taken;
+      SwapRecord(pool, next);
+      return;
+    case FleetStep::kDrain:
+      if (worker != view->workers.end()) AskDrained(pool, worker->second);
+      return;
+    case FleetStep::kRelease:
+      if (worker == view->workers.end()) return;
+      context_.counters->Add("fleet_releases");
+      port_->Release(worker->second, action.place.maintained);
+      return;
+    case FleetStep::kReassign:
+      Reassign(action);
+      return;
+    case FleetStep::kAdmit:
+      if (worker != view->workers.end()) AskAdmitted(pool, worker->second);
+      return;
+    case FleetStep::kReturnPlace:
+      next.places.erase(action.instance);
+      SwapRecord(pool, next);
+      return;
+  }
+}
+
+void FleetAgent::SwapRecord(const std::string& pool, const PoolRecord& next) {
+  PoolState& state = pools_[pool];
+  if (state.busy) return;
+  state.busy = true;
+  context_.counters->Add("fleet_record_swaps");
+  context_.store->Swap(StorePurpose::kPlace,
+                       {.key = PoolKey(pool),
+                        .expected_version = state.version,
+                        .value = Json(next).dump()},
+                       [this, pool, next](const StoreReply& reply) {
+                         PoolState& current = pools_[pool];
+                         current.busy = false;
+                         // On any other outcome the watch tells what the record
+                         // is.
+                         if (reply.status != StoreStatus::kOk ||
+                             reply.version <= current.version) {
+                           return;
+                         }
+                         current.version = reply.version;
+                         current.record = next;
+                         UpdateView();
+                       });
+}
+
+void FleetAgent::AskDrained(const std::string& pool, const WorkerInfo& worker) {
+  PoolState& state = pools_[pool];
+  if (!state.asked.insert(worker.id).second) return;
+  const BudgetPlace place = state.record.places.at(worker.id);
+  port_->Drain(worker, place.fence,
+               [this, pool, place, id = worker.id](int running) {
+                 PoolState& current = pools_[pool];
+                 current.asked.erase(id);
+                 if (running == 0) current.drained[id] = place;
+               });
+}
+
+void FleetAgent::AskAdmitted(const std::string& pool,
+                             const WorkerInfo& worker) {
+  PoolState& state = pools_[pool];
+  if (!state.asked.insert(worker.id).second) return;
+  const BudgetPlace place = state.record.places.at(worker.id);
+  port_->Admit(worker, place.fence,
+               [this, pool, place, id = worker.id](bool admitted) {
+                 PoolState& current = pools_[pool];
+                 current.asked.erase(id);
+                 if (admitted) current.admitted[id] = place;
+               });
+}
+
+void FleetAgent::Reassign(const FleetAction& action) {
+  if (assignments_busy_) return;
+  Assignments next = assignments_;
+  const auto it = next.find(action.instance);
+  if (it == next.end()) return;
+  it->second.pool = action.place.target;
+  ++it->second.generation;
+  context_.counters->Add("fleet_moves");
+  SwapAssignments(next);
+}
+
+}  // namespace basilusher
--- /dev/null
+++ b/lib/Control/FleetPlan.cc
@@ -0,0 +1,173 @@
+// Decisions on drains, reboots and moves.
+#include "basilusher/Control/FleetPlan.h"
+
+#include <algorithm>
+
+namespace basilusher {
+namespace {
+
+bool IsServing(const PoolSituation& situation, const std::string& instance) {
+  const auto it = situation.listed.find(instance);
+  return it != situation.listed.end() && !it->second.leaving &&
+         !it->second.rebooting;
+}
+
+/// The pool to which `instance` should move; empty if it is where it belongs.
+std::string MoveTarget(const PoolSituation& situation,
+                       const std::string& instance) {
+  const auto it = situation.wanted_pools.find(instance);
+  if (it == situation.wanted_pools.end() || it->second == situation.pool) {
+    return "";
+  }
+  return it->second;
+}
+
+std::string RackOf(const PoolSituation& situation,
+                   const std::string& instance) {
+  const auto it = situation.listed.find(instance);
+  return it == situation.listed.end() ? "" : it->second.rack;
+}
+
+bool Contains(const std::vector<std::string>& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+/// The last steps: the instance takes work before its place is given back.
+FleetStep AdmitOrReturn(const PoolSituation& situation,
+                        const std::string& instance) {
+  return Contains(situation.admitted, instance) ? FleetStep::kReturnPlace
+                                                : FleetStep::kAdmit;
+}
+
+/// The next step of an instance that holds a place.
+FleetAction NextStep(const PoolSituation& situation,
+                     const std::string& instance, const BudgetPlace& place) {
+  FleetAction action{.instance = instance, .place = place};
+  const auto listed = situation.listed.find(instance);
+  if (!Contains(situation.members, instance)) {
+    // The move is recorded.
+    action.step = AdmitOrReturn(situation, instance);
+    return action;
+  }
+  if (place.reason == PlaceReason::kMaintenance &&
+      listed != situation.listed.end() &&
+      listed->second.maintained > place.maintained) {
+    // Back from its reboot: the place is kept until it serves again.
+    action.step = IsServing(situation, instance)
+                      ? AdmitOrReturn(situation, instance)
+                      : FleetStep::kRelease;
+    return action;
+  }
+  const bool is_drained = Contains(situation.drained, instance);
+  if (!is_drained) {
+    action.step = FleetStep::kDrain;
+    return action;
+  }
+  action.step = place.reason == PlaceReason::kMove ? FleetStep::kReassign
+                                                   : FleetStep::kRelease;
+  return action;
+}
+
+/// Members that wait for a place, those of a rack already under way first, so
+/// that a wave goes through one failure domain after the other.
+std::vector<FleetAction> Candidates(const PoolSituation& situation) {
+  std::vector<std::string> busy_racks;
+  for (const auto& row : situation.record.places) {
+    busy_racks.push_back(RackOf(situation, row.first));
+  }
+  std::vector<std::pair<bool, FleetAction>> ranked;
+  for (const std::string& instance : situation.members) {
+    if (situation.record.places.contains(instance)) continue;
+    if (!IsServing(situation, instance)) continue;
+    const WorkerInfo& info = situation.listed.at(instance);
+    const std::string target = MoveTarget(situation, instance);
+    if (!info.wants_maintenance && target.empty()) continue;
+    const PlaceReason reason =
+        target.empty() ? PlaceReason::kMaintenance : PlaceReason::kMove;
+    const bool other_rack = std::find(busy_racks.begin(), busy_racks.end(),
+                                      info.rack) == busy_racks.end();
+    ranked.emplace_back(other_rack,
+                        FleetAction{.step = FleetStep::kTakePlace,
+                                    .instance = instance,
+                                    .place = {.reason = reason,
+                                              .target = target,
+                                              .maintained = info.maintained}});
+  }
+  std::stable_sort(
+      ranked.begin(), ranked.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<FleetAction> actions;
+  for (const auto& row : ranked) actions.push_back(row.second);
+  return actions;
+}
+
+}  // namespace
+
+void to_json(Json& json, const PoolRecord& record) {
+  json = {{"places", Json::object()}};
+  for (const auto& row : record.places) {
+    json["places"][row.first] = {
+        {"reason", NameOf(kPlaceReasonNames, row.second.reason)},
+        {"target", row.second.target},
+        {"maintained", row.second.maintained},
+        {"fence", row.second.fence}};
+  }
+  json["taken"] = record.taken;
+}
+
+void from_json(const Json& json, PoolRecord& record) {
+  record.places.clear();
+  for (const auto& row : json.at("places").items()) {
+    const std::string reason = row.value().at("reason").get<std::string>();
+    record.places[row.key()] = {
+        .reason = ValueOf(kPlaceReasonNames, reason)
+                      .value_or(PlaceReason::kMaintenance),
+        .target = row.value().at("target").get<std::string>(),
+        .maintained = row.value().at("maintained").get<std::int64_t>(),
+        .fence = row.value().at("fence").get<std::int64_t>()};
+  }
+  record.taken = json.at("taken").get<std::int64_t>();
+}
+
+std::int64_t NextFence(const PoolRecord& record, std::int64_t generation) {
+  constexpr int kGenerationShift = 32;
+  return (generation << kGenerationShift) + record.taken + 1;
+}
+
+std::string PoolKey(const std::string& pool) { return kPoolPrefix + pool; }
+
+int UnplannedLosses(const PoolSituation& situation) {
+  int losses = 0;
+  for (const std::string& instance : situation.members) {
+    if (situation.record.places.contains(instance)) continue;
+    if (!IsServing(situation, instance)) ++losses;
+  }
+  return losses;
+}
+
+std::vector<FleetAction> DecidePool(const PoolSituation& situation) {
+  std::vector<FleetAction> actions;
+  for (const auto& row : situation.record.places) {
+    actions.push_back(NextStep(situation, row.first, row.second));
+  }
+  const int losses = UnplannedLosses(situation);
+  if (losses >= kCorrelatedLosses) return actions;
+  const int taken = static_cast<int>(situation.record.places.size());
+  if (taken + losses >= situation.budget) return actions;
+  // One place at a time: the next decision sees the record that this one made.
+  const std::vector<FleetAction> candidates = Candidates(situation);
+  if (!candidates.empty()) actions.push_back(candidates.front());
+  return actions;
+}
+
+Assignments WithNewInstances(const Assignments& current, const Intent& intent) {
+  Assignments next = current;
+  for (const auto& pool : intent.pools) {
+    for (const std::string& instance : pool.second.workers) {
+      next.try_emplace(instance, Assignment{.pool = pool.first});
+    }
+  }
+  return next;
+}
+
+}  // namespace basilusher
--- a/lib/Control/FrontDoor.cc
+++ b/lib/Control/FrontDoor.cc
@@ -595,6 +595,23 @@
   }
 }
 
+void FrontDoor::StopRunsOverLimit() {
+  std::map<std::string, int> excess;
+  for (const std::pair<const std::string, Request>& row : requests_) {
+    const Request& request = row.second;
+    // Only tasks that may run again are stopped; the rest runs out.
+    if (request.submission.trusted_team.empty() || !request.queue.idempotent ||
+        request.step != Step::kDispatched) {
+      continue;
+    }
+    const auto [it, fresh] =
+        excess.try_emplace(request.team, places_.ExcessOf(request.team));
+    if (it->second <= 0) continue;
+    --it->second;
+    dispatcher_->StopRun(row.first);
+  }
+}
+
 void FrontDoor::TickUnacked() {
   const TimePoint now = context_.clock->Now();
   for (std::pair<const std::string, UnackedOutcome>& row : unacked_) {
@@ -645,6 +662,7 @@
   }
   for (const std::string& team : teams) ServeWaiting(team);
   TickLost();
+  StopRunsOverLimit();
   TickUnacked();
 }
 
--- a/lib/Control/PlaceHolder.cc
+++ b/lib/Control/PlaceHolder.cc
@@ -32,13 +32,17 @@
 
 int PlaceHolder::Usable(const std::string& team,
                         const TeamPlaces& places) const {
-  const int limit = LimitOf(team);
-  int usable = places.ceiling;
+  return std::min(Scaled(team, places), places.target);
+}
+
+int PlaceHolder::Scaled(const std::string& team,
+                        const TeamPlaces& places) const {
   // All ceilings given under one basis add up to at most that basis, so scaled
   // down by limit/basis they add up to at most a lowered limit, without a word
   // from the home.
-  if (limit < places.basis) usable = places.ceiling * limit / places.basis;
-  return std::min({usable, places.target, limit});
+  const int limit = LimitOf(team);
+  if (limit >= places.basis) return std::min(places.ceiling, limit);
+  return places.ceiling * limit / places.basis;
 }
 
 bool PlaceHolder::TryTake(const std::string& team) {
@@ -70,12 +74,13 @@
 }
 
 bool PlaceHolder::StillAllowed(const std::string& team) const {
+  return teams_.contains(team) && ExcessOf(team) <= 0;
+}
+
+int PlaceHolder::ExcessOf(const std::string& team) const {
   const auto it = teams_.find(team);
-  if (it == teams_.end()) return false;
-  const int limit = LimitOf(team);
-  int usable = it->second.ceiling;
-  if (limit < it->second.basis) usable = usable * limit / it->second.basis;
-  return it->second.in_use <= usable;
+  if (it == teams_.end()) return 0;
+  return it->second.in_use - Scaled(team, it->second);
 }
 
 int PlaceHolder::InUse(const std::string& team) const {
--- a/lib/Control/TaskHome.cc
+++ b/lib/Control/TaskHome.cc
@@ -390,6 +390,11 @@
   port_->Report(request_id, attempt, result);
 }
 
+void TaskHome::StopRun(const std::string& request_id) {
+  const auto it = runs_.find(request_id);
+  if (it != runs_.end()) it->second.stopping = true;
+}
+
 void TaskHome::OnFinished(const std::string& request_id,
                           const basilusher::Answer& answer) {
   const std::string task_id = TaskOfRequest(request_id);
--- a/lib/Daemon/EntryDaemon.cc
+++ b/lib/Daemon/EntryDaemon.cc
@@ -6,6 +6,7 @@
 #include <thread>
 #include <utility>
 
+#include "EntryFleet.h"
 #include "EntryServices.h"
 #include "EntryTasks.h"
 #include "HttpFrontend.h"
@@ -22,7 +23,8 @@
 constexpr Millis kMaintenancePeriod{100};
 constexpr Millis kClaimTick{10};
 constexpr int kActorThreads = 2;
-constexpr int kPoolThreads = 2;
+/// Each makes one call to a worker at a time.
+constexpr int kPoolThreads = kControlConnections;
 
 /// Bus over the peer transport; messages to this entry stay inside.
 class TransportBus : public Bus {
@@ -268,6 +270,7 @@
   std::vector<ComponentSpec> Specs() {
     const Context place = ContextFor(ComponentKind::kPlaceHome);
     const Context front = ContextFor(ComponentKind::kFrontDoor);
+    const Context fleet = ContextFor(ComponentKind::kFleet);
     const Context tasks = ContextFor(ComponentKind::kTaskHome);
     return {SpecFor<MembershipAgent>(ComponentKind::kMembership),
             SpecFor<ConfigAgent>(ComponentKind::kConfig),
@@ -278,6 +281,14 @@
                  [this, place] {
                    return std::make_unique<PlaceHome>(place, survey_.get());
                  }},
+            {.kind = ComponentKind::kFleet,
+             .make =
+                 [this, fleet] {
+                   return std::make_unique<FleetAgent>(fleet, &fleet_port_);
+                 },
+             // It knows the records from the watch, which tells each change
+             // once.
+             .restartable = false},
             {.kind = ComponentKind::kTaskHome,
              .make =
                  [this, tasks] {
@@ -297,7 +308,7 @@
 
   void StartStore() {
     services_.store->StartWatch(
-        {kMemberPrefix, kIntentHeadKey, kKeysKey},
+        {kMemberPrefix, kIntentHeadKey, kKeysKey, kFleetPrefix},
         [this](const WatchReply& reply, TimePoint asked_at) {
           const StoreChanges changes{.entries = reply.entries,
                                      .asked_at = asked_at};
@@ -332,6 +343,8 @@
     services_.workers->SetEntries(static_cast<int>(
         std::max(view->listed_entries.size(), view->entries.size())));
     services_.ready = view->intent != nullptr && !view->workers.empty() &&
+                      view->assignments != nullptr &&
+                      !view->assignments->empty() &&
                       services_.clock.Now() <= view->fresh_until;
   }
 
@@ -387,6 +400,7 @@
   EntryServices services_;
   std::array<std::unique_ptr<KeyValueStore>, kComponentCount> stores_;
   std::unique_ptr<WorkerSurvey> survey_;
+  EntryFleet fleet_port_{&services_};
   std::unique_ptr<HttpFrontend> frontend_;
   caf::actor supervisor_;
   std::mutex mutex_;
--- a/lib/Daemon/WorkerClient.cc
+++ b/lib/Daemon/WorkerClient.cc
@@ -44,6 +44,15 @@
     {TaskRunState::kNeverStarted, "never-started"},
 }};
 
+/// The count in a worker's answer; -1 without a usable answer.
+int CountOf(const httplib::Result& result) {
+  if (!result || result->status != kStartedStatus) return -1;
+  const bool digits =
+      !result->body.empty() && result->body.size() <= 9 &&
+      result->body.find_first_not_of("0123456789") == std::string::npos;
+  return digits ? std::stoi(result->body) : -1;
+}
+
 /// One call about a task's run.
 TaskRunReport CallTask(const WorkerInfo& worker, const std::string& path,
                        const httplib::Headers& headers) {
@@ -65,7 +74,8 @@
 }  // namespace
 
 int ConnectionShare(int connections, int entries) {
-  return std::max(1, connections / (std::max(1, entries) + 1));
+  const int each = connections / (std::max(1, entries) + 1);
+  return std::max(1, each - kControlConnections);
 }
 
 /// Hides the HTTP library from the header.
@@ -224,15 +234,30 @@
   return CallTask(worker, "/task/stop/" + request_id, {});
 }
 
+int WorkerClient::Drain(const WorkerInfo& worker, std::int64_t fence) {
+  httplib::Client client(worker.address, worker.port);
+  client.set_connection_timeout(kCheckTimeout);
+  client.set_read_timeout(kCheckTimeout);
+  return CountOf(
+      client.Post("/drain", httplib::Params{{"fence", std::to_string(fence)}}));
+}
+
+bool WorkerClient::Admit(const WorkerInfo& worker, std::int64_t fence) {
+  httplib::Client client(worker.address, worker.port);
+  client.set_connection_timeout(kCheckTimeout);
+  client.set_read_timeout(kCheckTimeout);
+  const httplib::Result result =
+      client.Post("/admit", httplib::Params{{"fence", std::to_string(fence)}});
+  return result && result->status == kStartedStatus;
+}
+
 int WorkerClient::BarHolder(const WorkerInfo& worker,
                             const std::string& holder) {
   httplib::Client client(worker.address, worker.port);
   client.set_connection_timeout(kCheckTimeout);
   client.set_read_timeout(kCheckTimeout);
   const httplib::Params params{{"holder", holder}};
-  const httplib::Result result = client.Post("/bar/holder", params);
-  if (!result || result->status != 200) return -1;
-  return std::stoi(result->body);
+  return CountOf(client.Post("/bar/holder", params));
 }
 
 }  // namespace basilusher
--- a/lib/Model/ClusterView.cc
+++ b/lib/Model/ClusterView.cc
@@ -34,12 +34,13 @@
 std::vector<WorkerInfo> WorkersOf(const ClusterView& view,
                                   const std::string& pool) {
   std::vector<WorkerInfo> workers;
-  if (view.intent == nullptr) return workers;
-  const auto it = view.intent->pools.find(pool);
-  if (it == view.intent->pools.end()) return workers;
-  for (const std::string& id : it->second.workers) {
-    const auto worker = view.workers.find(id);
-    if (worker == view.workers.end() || worker->second.leaving) continue;
+  if (view.assignments == nullptr) return workers;
+  for (const std::pair<const std::string, Assignment>& row :
+       *view.assignments) {
+    if (row.second.pool != pool || view.draining.contains(row.first)) continue;
+    const auto worker = view.workers.find(row.first);
+    if (worker == view.workers.end()) continue;
+    if (worker->second.leaving || worker->second.rebooting) continue;
     workers.push_back(worker->second);
   }
   return workers;
--- a/lib/Standin/PlatformServer.cc
+++ b/lib/Standin/PlatformServer.cc
@@ -14,6 +14,7 @@
 
 constexpr int kThreads = 96;
 constexpr Millis kExpiryPeriod{50};
+constexpr Millis kRebootTime{1000};
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusConflict = 409;
@@ -167,6 +168,26 @@
                 Count("instances");
                 response.set_content(LaggingList().dump(), "application/json");
               });
+    http_.Post("/instances/release", "release",
+               [this](const httplib::Request& request,
+                      httplib::Response& /*response*/) {
+                 const std::lock_guard<std::mutex> lock(mutex_);
+                 Count("release");
+                 Reboot(Json::parse(request.body));
+               });
+    // For tests: the platform wants to maintain the workers named.
+    http_.Server()->Post("/instances/notice",
+                         [this](const httplib::Request& request,
+                                httplib::Response& /*response*/) {
+                           const std::lock_guard<std::mutex> lock(mutex_);
+                           const Json ids = Json::parse(request.body);
+                           ChangeWorkers([&ids](Json* worker) {
+                             for (const Json& id : ids) {
+                               if (worker->at("id") != id) continue;
+                               (*worker)["wants_maintenance"] = true;
+                             }
+                           });
+                         });
     // For tests: replaces the true list of instances.
     http_.Server()->Post("/instances", [this](const httplib::Request& request,
                                               httplib::Response& /*response*/) {
@@ -180,8 +201,49 @@
     });
   }
 
+  void ChangeWorkers(const std::function<void(Json*)>& change) {
+    Json list = lists_.back().second;
+    for (Json& worker : list["workers"]) change(&worker);
+    lists_.push_back({clock_.Now(), std::move(list)});
+  }
+
+  /// Starts a reboot if the worker wants one and its count is as stated.
+  void Reboot(const Json& order) {
+    ChangeWorkers([this, &order](Json* worker) {
+      if (worker->at("id") != order.at("id")) return;
+      if (!worker->value("wants_maintenance", false)) return;
+      const std::int64_t count = worker->value("maintained", std::int64_t{0});
+      if (count != order.at("maintained").get<std::int64_t>()) return;
+      (*worker)["wants_maintenance"] = false;
+      (*worker)["rebooting"] = true;
+      (*worker)["maintained"] = count + 1;
+      reboots_[worker->at("id").get<std::string>()] =
+          clock_.Now() + kRebootTime;
+    });
+  }
+
+  void FinishReboots(TimePoint now) {
+    std::vector<std::string> due;
+    for (const std::pair<const std::string, TimePoint>& row : reboots_) {
+      if (row.second <= now) due.push_back(row.first);
+    }
+    if (due.empty()) return;
+    ChangeWorkers([this, &due](Json* worker) {
+      for (const std::string& id : due) {
+        if (worker->at("id") != id) continue;
+        (*worker)["rebooting"] = false;
+        // The worker comes back from its reboot.
+        httplib::Client client(worker->at("address").get<std::string>(),
+                               worker->at("port").get<int>());
+        client.Post("/reboot");
+        reboots_.erase(id);
+      }
+    });
+  }
+
   Json LaggingList() {
     const TimePoint now = clock_.Now();
+    FinishReboots(now);
     while (lists_.size() > 1 && now - lists_[1].first >= options_.list_lag) {
       lists_.pop_front();
     }
@@ -209,6 +271,8 @@
   MemoryStore store_;
   std::map<std::string, std::int64_t> calls_;
   std::deque<std::pair<TimePoint, Json>> lists_;
+  /// Workers that reboot, and until when.
+  std::map<std::string, TimePoint> reboots_;
   bool stopping_ = false;
   std::thread expiry_;
   StandinHttp http_;
--- a/lib/Standin/WorkerCore.cc
+++ b/lib/Standin/WorkerCore.cc
@@ -90,6 +90,24 @@
                     }));
 }
 
+int WorkerCore::Drain(std::int64_t fence) {
+  if (fence <= admit_fence_) return -1;
+  drain_fence_ = std::max(drain_fence_, fence);
+  leaving_ = true;
+  return Running();
+}
+
+void WorkerCore::Admit(std::int64_t fence) {
+  admit_fence_ = std::max(admit_fence_, fence);
+  if (drain_fence_ <= admit_fence_) leaving_ = false;
+}
+
+void WorkerCore::Reboot() {
+  leaving_ = false;
+  drain_fence_ = 0;
+  admit_fence_ = 0;
+}
+
 int WorkerCore::RunningOf(const std::string& team) const {
   return static_cast<int>(
       std::count_if(running_.begin(), running_.end(),
--- a/lib/Standin/WorkerServer.cc
+++ b/lib/Standin/WorkerServer.cc
@@ -41,6 +41,7 @@
         });
     AddTaskRoutes();
     AddBarRoutes();
+    AddDrainRoutes();
     AddTestRoutes();
   }
 
@@ -145,6 +146,33 @@
         });
   }
 
+  void AddDrainRoutes() {
+    http_.Post(
+        "/drain", "drain",
+        [this](const httplib::Request& request, httplib::Response& response) {
+          const std::lock_guard<std::mutex> lock(mutex_);
+          core_.AdvanceTasks(clock_.Now());
+          response.set_content(std::to_string(core_.Drain(FenceOf(request))),
+                               "text/plain");
+        });
+    http_.Post("/admit", "drain",
+               [this](const httplib::Request& request,
+                      httplib::Response& /*response*/) {
+                 const std::lock_guard<std::mutex> lock(mutex_);
+                 core_.Admit(FenceOf(request));
+               });
+    // The platform's reboot, which the process outlives.
+    http_.Server()->Post("/reboot", [this](const httplib::Request& /*request*/,
+                                           httplib::Response& /*response*/) {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      core_.Reboot();
+    });
+  }
+
+  static std::int64_t FenceOf(const httplib::Request& request) {
+    return std::atoll(request.get_param_value("fence").c_str());
+  }
+
   void AddTestRoutes() {
     http_.Server()->Post("/leave", [this](const httplib::Request& /*request*/,
                                           httplib::Response& /*response*/) {
--- a/lib/Store/HttpStore.cc
+++ b/lib/Store/HttpStore.cc
@@ -136,6 +136,14 @@
           .entries = reply.entries};
 }
 
+bool HttpStore::ReleaseInstance(const std::string& id,
+                                std::int64_t maintained) {
+  const Json body = {{"id", id}, {"maintained", maintained}};
+  const httplib::Result result = connection_->client.Post(
+      "/instances/release", body.dump(), "application/json");
+  return result && result->status == 200;
+}
+
 InstanceLists HttpStore::ListInstances() {
   InstanceLists lists;
   const httplib::Result result = connection_->client.Get("/instances");
--- a/unittests/Control/Bench.cc
+++ b/unittests/Control/Bench.cc
@@ -13,9 +13,14 @@
 constexpr Millis kStep{5};
 constexpr Millis kNetworkDelay{1};
 constexpr Millis kStoreTimeout{1000};
+constexpr Millis kRebootTime{500};
 /// Bound of the brief's "within seconds".
 constexpr Millis kWithdrawalBound{5000};
+/// Bound of the brief's "after a few seconds".
+constexpr Millis kLeavingBound{3000};
 constexpr int kSlots = 4;
+/// Availability budget of each pool of the bench.
+constexpr int kBudget = 1;
 constexpr int kLimitB = 6;
 constexpr int kWorkMs = 40;
 constexpr int kLongWorkMs = 2500;
@@ -99,11 +104,14 @@
 
 }  // namespace
 
-Json BenchDocument(int limit_a) {
+Json BenchDocument(int limit_a, const std::string& w3_pool) {
   const Json weights = {{"bufferCost", 1},
                         {"rollOutTime", 1},
                         {"moves", 1},
                         {"closenessToShare", 1}};
+  const bool moved = w3_pool == "main";
+  const Json main_workers = moved ? Json{"w1", "w2", "w3"} : Json{"w1", "w2"};
+  const Json spare_workers = moved ? Json::array() : Json::array({"w3"});
   return {{"deployment",
            {{"name", "bench"}, {"sparePool", "spare"}, {"weights", weights}}},
           {"teams",
@@ -114,7 +122,7 @@
              {{"service", "main"},
               {"pool", "main"},
               {"availabilityBudget", 1},
-              {"workers", {"w1", "w2"}},
+              {"workers", main_workers},
               {"queues",
                {{"many",
                  {{"class", "urgent"},
@@ -130,7 +138,7 @@
              {{"service", "spare"},
               {"pool", "spare"},
               {"availabilityBudget", 1},
-              {"workers", {"w3"}},
+              {"workers", spare_workers},
               {"queues", Json::object()}}}}}};
 }
 
@@ -151,6 +159,7 @@
   places = std::make_unique<PlaceHome>(context, this);
   claims = std::make_unique<ClaimHome>(context);
   front = std::make_unique<FrontDoor>(context, this);
+  fleet = std::make_unique<FleetAgent>(context, this);
 }
 
 Node::~Node() = default;
@@ -189,12 +198,14 @@
   // What the store's watch would have brought.
   if (!bench->store_down && !store_cut && bench->store_delay < Millis(500)) {
     const std::vector<StoreEntry> changes = bench->store.ChangesAfter(
-        {kMemberPrefix, kIntentHeadKey, kKeysKey}, watch_revision);
+        {kMemberPrefix, kIntentHeadKey, kKeysKey, kFleetPrefix},
+        watch_revision);
     watch_revision = bench->store.Revision();
     const StoreChanges batch{.entries = changes,
                              .asked_at = bench->clock.Now()};
     membership->OnStoreChanges(batch);
     config->OnStoreChanges(batch);
+    fleet->OnStoreChanges(batch);
   }
   std::vector<EntryInfo> listed;
   for (const auto& row : bench->nodes) listed.push_back(row.second->info);
@@ -205,6 +216,54 @@
   places->OnTick();
   claims->OnTick();
   front->OnTick();
+  fleet->OnTick();
+}
+
+void Node::Drain(const WorkerInfo& worker, std::int64_t fence,
+                 std::function<void(int running)> done) {
+  const Effect effect = bench->OnStep({"drain", info.instance});
+  if (workers_cut) {
+    bench->ForNode(this, Millis(100), [done] { done(-1); });
+    return;
+  }
+  bench->At(kNetworkDelay + effect.delay, [this, done, fence, id = worker.id] {
+    const int running = bench->workers.at(id).Drain(fence);
+    bench->ForNode(this, kNetworkDelay, [done, running] { done(running); });
+  });
+}
+
+void Node::Admit(const WorkerInfo& worker, std::int64_t fence,
+                 std::function<void(bool admitted)> done) {
+  if (workers_cut) {
+    bench->ForNode(this, Millis(100), [done] { done(false); });
+    return;
+  }
+  bench->At(kNetworkDelay, [this, done, fence, id = worker.id] {
+    bench->workers.at(id).Admit(fence);
+    bench->ForNode(this, kNetworkDelay, [done] { done(true); });
+  });
+}
+
+void Node::Release(const WorkerInfo& worker, std::int64_t maintained) {
+  const Effect effect = bench->OnStep({"release", info.instance});
+  if (bench->store_down || store_cut) return;
+  bench->At(kNetworkDelay + effect.delay, [this, maintained, id = worker.id] {
+    WorkerInfo& listed = bench->worker_infos.at(id);
+    if (!listed.wants_maintenance || listed.maintained != maintained) return;
+    if (bench->workers.at(id).Running() > 0) {
+      bench->broken.push_back("a reboot cut off work on " + id);
+    }
+    if (!bench->HasPlace("main", id) && !bench->HasPlace("spare", id)) {
+      bench->broken.push_back("reboot without a place in the budget: " + id);
+    }
+    listed.wants_maintenance = false;
+    listed.rebooting = true;
+    ++listed.maintained;
+    bench->At(kRebootTime, [this, id] {
+      bench->worker_infos.at(id).rebooting = false;
+      bench->workers.at(id).Reboot();
+    });
+  });
 }
 
 void Node::Dispatch(const DispatchOrder& order) {
@@ -249,6 +308,12 @@
               " ms after, now " +
               std::to_string(bench->clock.Now().time_since_epoch().count()));
         }
+        const auto leaving = bench->leaving.find(order.worker.id);
+        if (leaving != bench->leaving.end() &&
+            bench->clock.Now() - leaving->second > kLeavingBound) {
+          bench->broken.push_back("work started on a leaving worker: " +
+                                  call.tag);
+        }
         if (order.team != call.team) {
           bench->broken.push_back("run for another team: " + call.tag);
         }
@@ -359,6 +424,7 @@
     if (node->alive && !node->paused) node->Tick();
   }
   CheckWithdrawals();
+  CheckFleet();
   CheckNow();
 }
 
@@ -378,6 +444,20 @@
   return runs;
 }
 
+std::string Bench::WantedPoolOf(const std::string& worker) {
+  for (const auto& row : nodes) {
+    const ViewPtr view = row.second->views.Current();
+    if (!view->intent || view->intent->version != AcceptedVersion()) continue;
+    for (const auto& pool : view->intent->pools) {
+      const std::vector<std::string>& ids = pool.second.workers;
+      if (std::find(ids.begin(), ids.end(), worker) != ids.end()) {
+        return pool.first;
+      }
+    }
+  }
+  return "";
+}
+
 std::int64_t Bench::AcceptedVersion() const {
   const StoreReply head = store.Get(kIntentHeadKey);
   if (head.entries.empty()) return 0;
@@ -421,7 +501,8 @@
                              .body_digest = DigestOf(tag)});
 }
 
-void Bench::Publish(const std::string& name, int limit) {
+void Bench::Publish(const std::string& name, int limit,
+                    const std::string& w3_pool) {
   const auto it = nodes.find(name);
   if (it == nodes.end() || !it->second->alive) return;
   // A raised limit may be in force from now on; a lowered one within seconds.
@@ -429,7 +510,7 @@
   Node* node = it->second.get();
   const ViewPtr view = node->views.Current();
   const std::int64_t base = view->intent ? view->intent->version : 0;
-  node->config->Publish(BenchDocument(limit), base,
+  node->config->Publish(BenchDocument(limit, w3_pool), base,
                         [this, limit](const PublishResult& result) {
                           if (result.code != ResultCode::kOk) return;
                           limit_a = limit;
@@ -497,6 +578,61 @@
   }
 }
 
+void Bench::Notice(const std::string& worker) {
+  worker_infos.at(worker).wants_maintenance = true;
+}
+
+bool Bench::HasPlace(const std::string& pool, const std::string& worker) const {
+  const StoreReply reply = store.Get(PoolKey(pool));
+  if (reply.entries.empty()) return false;
+  return Json::parse(reply.entries.front().value)
+      .get<PoolRecord>()
+      .places.contains(worker);
+}
+
+Assignments Bench::StoredAssignments() const {
+  const StoreReply reply = store.Get(kAssignmentKey);
+  if (reply.entries.empty()) return {};
+  return Json::parse(reply.entries.front().value).get<Assignments>();
+}
+
+void Bench::CheckFleet() {
+  const Assignments assignments = StoredAssignments();
+  std::map<std::string, int> unavailable;
+  for (const auto& row : assignments) {
+    const auto before = last_assignments_.find(row.first);
+    if (before != last_assignments_.end() &&
+        before->second.pool != row.second.pool &&
+        row.second.generation <= before->second.generation) {
+      Break("an instance changed its pool without a new generation");
+    }
+    if (!workers.at(row.first).Leaving()) continue;
+    // A drained worker counts where its place is: one that is on its way to
+    // another pool joins that pool only once it is admitted.
+    std::string pool = row.second.pool;
+    for (const char* other : {"main", "spare"}) {
+      if (HasPlace(other, row.first)) pool = other;
+    }
+    ++unavailable[pool];
+  }
+  for (const auto& row : unavailable) {
+    if (row.second > kBudget) {
+      Break("pool " + row.first + " has " + std::to_string(row.second) +
+            " drained over its budget");
+    }
+  }
+  last_assignments_ = assignments;
+}
+
+void Bench::SetLeaving(const std::string& worker, bool is_leaving) {
+  worker_infos[worker].leaving = is_leaving;
+  if (is_leaving) {
+    leaving[worker] = clock.now;
+  } else {
+    leaving.erase(worker);
+  }
+}
+
 void Bench::Crash(const std::string& name) {
   const auto it = nodes.find(name);
   if (it == nodes.end() || !it->second->alive) return;
--- a/unittests/Control/Bench.h
+++ b/unittests/Control/Bench.h
@@ -12,6 +12,7 @@
 
 #include "basilusher/Control/ClaimHome.h"
 #include "basilusher/Control/ConfigAgent.h"
+#include "basilusher/Control/FleetAgent.h"
 #include "basilusher/Control/FrontDoor.h"
 #include "basilusher/Control/MembershipAgent.h"
 #include "basilusher/Control/PlaceHome.h"
@@ -44,7 +45,10 @@
 class Bench;
 
 /// One run of one entry.
-class Node : public Bus, public Dispatcher, public WorkerSurvey {
+class Node : public Bus,
+             public Dispatcher,
+             public WorkerSurvey,
+             public FleetPort {
  public:
   Node(Bench* bench, const std::string& instance, std::int64_t incarnation);
   ~Node() override;
@@ -54,7 +58,13 @@
   void Finish(const std::string& request_id, const Answer& answer) override;
   void CheckRun(const WorkerInfo& worker, const std::string& request_id,
                 int attempt) override;
+  void StopRun(const std::string& /*request_id*/) override {}
   void ProveGone(const PeerId& holder, std::function<void(bool)> done) override;
+  void Drain(const WorkerInfo& worker, std::int64_t fence,
+             std::function<void(int running)> done) override;
+  void Admit(const WorkerInfo& worker, std::int64_t fence,
+             std::function<void(bool admitted)> done) override;
+  void Release(const WorkerInfo& worker, std::int64_t maintained) override;
   void Deliver(const PeerId& from, const Message& message);
   void Tick();
 
@@ -81,6 +91,7 @@
   std::unique_ptr<PlaceHome> places;
   std::unique_ptr<ClaimHome> claims;
   std::unique_ptr<FrontDoor> front;
+  std::unique_ptr<FleetAgent> fleet;
 };
 
 /// What a caller sent and got.
@@ -106,7 +117,15 @@
   /// Sends a request to `node`; repeated tags share an idempotency key.
   void Request(const std::string& node, const std::string& queue,
                const std::string& team, const std::string& tag);
-  void Publish(const std::string& node, int limit_a);
+  /// Publishes the bench's intent with this limit of team "a"; `w3_pool` is the
+  /// pool of worker w3 by the intent.
+  void Publish(const std::string& node, int limit_a,
+               const std::string& w3_pool = "spare");
+  /// The platform wants to maintain a worker.
+  void Notice(const std::string& worker);
+  /// The place that the store's record of `pool` holds for `worker`.
+  bool HasPlace(const std::string& pool, const std::string& worker) const;
+  Assignments StoredAssignments() const;
   void GiveKey(const std::string& node, const std::string& team);
   void WithdrawKey(const std::string& node, const std::string& team);
   void Crash(const std::string& node);
@@ -114,6 +133,8 @@
   void Pause(const std::string& node);
   void Resume(const std::string& node);
   void StopGracefully(const std::string& node);
+  /// Shows a worker as leaving, or as back, in the platform's list.
+  void SetLeaving(const std::string& worker, bool is_leaving);
   Node* Get(const std::string& name) { return nodes.at(name).get(); }
   /// Checks everything at the end; adds to `broken`.
   void CheckEnd();
@@ -126,6 +147,8 @@
   int RunsOf(const std::string& tag) const;
   /// Version of the intent that the store has accepted.
   std::int64_t AcceptedVersion() const;
+  /// Pool of `worker` by the accepted intent.
+  std::string WantedPoolOf(const std::string& worker);
 
   FakeClock clock;
   SeededRandom random;
@@ -145,6 +168,8 @@
   std::map<std::string, std::string> withdrawing;
   /// When the withdrawal of a team's key was accepted.
   std::map<std::string, TimePoint> withdrawn;
+  /// When the platform's list showed a worker as leaving.
+  std::map<std::string, TimePoint> leaving;
   std::function<Effect(const StepEvent&)> hook;
   std::vector<std::string> broken;
   int limit_a = 4;
@@ -157,17 +182,19 @@
   void Step();
   void CheckNow();
   void CheckWithdrawals();
+  void CheckFleet();
   bool IsTombstoneStored(const std::string& id) const;
   std::size_t TombstoneHolders(const std::string& id) const;
   void Break(const std::string& text);
 
   std::multimap<TimePoint, std::function<void()>> events_;
+  Assignments last_assignments_;
   TimePoint next_tick_{};
   int next_request_ = 0;
 };
 
 /// The intent document that the bench publishes.
-Json BenchDocument(int limit_a);
+Json BenchDocument(int limit_a, const std::string& w3_pool);
 
 }  // namespace basilusher::testing
 
--- a/unittests/Control/FaultMatrixTest.cc
+++ b/unittests/Control/FaultMatrixTest.cc
@@ -12,6 +12,7 @@
 
 constexpr Millis kFaultSpan{4000};
 constexpr Millis kLateBy{2500};
+constexpr Millis kLateShortlyBy{700};
 
 enum class Step {
   kClaim,
@@ -30,9 +31,13 @@
   kSpread,
   kGive,
   kWithdraw,
+  kBudgetPlace,
+  kDrain,
+  kReleaseInstance,
+  kMove,
 };
 
-constexpr EnumTable<Step, 16> kSteps = {{
+constexpr EnumTable<Step, 20> kSteps = {{
     {Step::kClaim, "swap claims/"},
     {Step::kAllotSlot, "slot-ask"},
     {Step::kAllotPlace, "place-ask"},
@@ -49,6 +54,10 @@
     {Step::kSpread, "intent-push"},
     {Step::kGive, "swap keys"},
     {Step::kWithdraw, "keys-push"},
+    {Step::kBudgetPlace, "swap fleet/pool/"},
+    {Step::kDrain, "drain"},
+    {Step::kReleaseInstance, "release"},
+    {Step::kMove, "swap fleet/instances"},
 }};
 
 enum class FaultColumn {
@@ -62,6 +71,7 @@
   kStoreSlow,
   kAnswerLost,
   kLate,
+  kLateWithinTimeouts,
   kTwice,
   kCrossed,
   kCrashAndStoreDown,
@@ -69,7 +79,7 @@
   kCutPeersAndStoreSlow,
 };
 
-constexpr EnumTable<FaultColumn, 15> kFaults = {{
+constexpr EnumTable<FaultColumn, 16> kFaults = {{
     {FaultColumn::kCrash, "crash"},
     {FaultColumn::kCrashAndRestart, "crash-restart"},
     {FaultColumn::kPause, "pause-beyond-lease"},
@@ -80,6 +90,7 @@
     {FaultColumn::kStoreSlow, "store-slow"},
     {FaultColumn::kAnswerLost, "answer-lost"},
     {FaultColumn::kLate, "late"},
+    {FaultColumn::kLateWithinTimeouts, "late-within-timeouts"},
     {FaultColumn::kTwice, "twice"},
     {FaultColumn::kCrossed, "crossed"},
     {FaultColumn::kCrashAndStoreDown, "crash+store-down"},
@@ -145,6 +156,8 @@
       return {.lose_answer = true};
     case FaultColumn::kLate:
       return {.delay = kLateBy};
+    case FaultColumn::kLateWithinTimeouts:
+      return {.delay = kLateShortlyBy};
     case FaultColumn::kTwice:
       return {.twice = true};
     case FaultColumn::kCrossed:
@@ -169,9 +182,12 @@
 bool Applies(Step step, FaultColumn fault, std::string* reason) {
   const std::string_view name = NameOf(kSteps, step);
   const bool is_call = name.compare(0, 5, "swap ") == 0;
+  const bool is_fleet_call =
+      step == Step::kDrain || step == Step::kReleaseInstance;
   const bool is_answer = step == Step::kAnswerMany || step == Step::kAnswerOnce;
-  const bool is_work =
-      is_answer || step == Step::kDispatchMany || step == Step::kDispatchOnce;
+  const bool is_work = is_answer || is_fleet_call ||
+                       step == Step::kDispatchMany ||
+                       step == Step::kDispatchOnce;
   if (fault == FaultColumn::kAnswerLost && !is_call && !is_answer) {
     *reason = "the step has no answer of its own; a lost message is cut-to-...";
     return false;
@@ -224,13 +240,18 @@
   traffic(20);
   bench->Publish("n2", 6);
   traffic(20);
+  // A wave over the whole pool, announced at once.
+  bench->Notice("w1");
+  bench->Notice("w2");
   bench->WithdrawKey("n3", "b");
+  bench->SetLeaving("w2", true);
   traffic(20);
   // A home of places is replaced while the load runs.
   bench->Restart("n1");
   traffic(120);
+  bench->SetLeaving("w2", false);
   bench->GiveKey("n2", "b");
-  bench->Publish("n3", 5);
+  bench->Publish("n3", 5, "main");
   traffic(100);
   bench->Advance(Millis(14000));
 }
@@ -256,6 +277,14 @@
         std::to_string(static_cast<int>(row.second.answer.code)) + " " +
         row.second.answer.text);
   }
+  for (const char* worker : {"w1", "w2"}) {
+    if (bench->worker_infos.at(worker).maintained == 1) continue;
+    bench->broken.push_back(std::string("not maintained: ") + worker);
+  }
+  // A publication that a fault refused moves nothing.
+  if (bench->WantedPoolOf("w3") != bench->StoredAssignments()["w3"].pool) {
+    bench->broken.push_back("w3 was not moved");
+  }
   for (const char* name : {"n1", "n2", "n3"}) {
     const ViewPtr view = bench->Get(name)->views.Current();
     // What the store has accepted is what must be in force, whether or not the
--- a/utils/cluster.py
+++ b/utils/cluster.py
@@ -164,6 +164,10 @@
         )
         while self.workers.first_line() != "ready":
             pass
+        self.start_without_workers()
+
+    def start_without_workers(self):
+        """Starts the platform, which lists workers that do not run."""
         self.platform = Process(
             [
                 self.tool("standin-platform"),
