Show a maintenance wave and a move in the demo; test single guards

Found by the demo: the watch's changes did not reach the fleet's actor in the product, though the fakes passed them; no worker was ever assigned and no entry became ready. Found by WorkerHealth's test: failures that were under way when a worker was quarantined lengthened its quarantine eightfold; only a failed probe does now. Every entry re-read all task journals once a second; only their home does.

--- a/lib/Control/TaskHome.cc
+++ b/lib/Control/TaskHome.cc
@@ -229,7 +229,8 @@
           context_, JournalOptions{.prefix = TaskSubject(number) + "/"},
           [this, bucket](const Json& record) { Apply(bucket, record); });
     }
-    if (reload) bucket->journal->Refresh();
+    // Records of other writers matter to the home alone.
+    if (reload && IsHome(number)) bucket->journal->Refresh();
     bucket->journal->OnTick();
     TickBucket(number, bucket);
   }
--- a/lib/Control/WorkerHealth.cc
+++ b/lib/Control/WorkerHealth.cc
@@ -24,6 +24,9 @@
 
 void WorkerHealth::Quarantine(Evidence* evidence, bool unreachable,
                               TimePoint now) {
+  // What was under way when it was quarantined is no evidence of its own; only
+  // a probe that fails lengthens the quarantine.
+  if (evidence->quarantined && now < evidence->probe_at) return;
   evidence->backoff = evidence->quarantined
                           ? std::min(evidence->backoff * 2, kLongestBackoff)
                           : kFirstBackoff;
--- a/lib/Daemon/EntryDaemon.cc
+++ b/lib/Daemon/EntryDaemon.cc
@@ -319,6 +319,10 @@
               ComponentKind::kConfig, [changes](Component* component) {
                 static_cast<ConfigAgent*>(component)->OnStoreChanges(changes);
               });
+          services_.directory.Run(
+              ComponentKind::kFleet, [changes](Component* component) {
+                static_cast<FleetAgent*>(component)->OnStoreChanges(changes);
+              });
         });
     services_.store->StartInstanceList(
         kInstanceListPeriod, [this](const InstanceLists& lists) {
@@ -363,6 +367,9 @@
         ComponentKind::kFrontDoor, [](Component* component) {
           static_cast<FrontDoor*>(component)->StopAccepting();
         });
+    services_.directory.Run(ComponentKind::kFleet, [](Component* component) {
+      static_cast<FleetAgent*>(component)->StandDown();
+    });
     services_.directory.Run(ComponentKind::kTaskHome, [](Component* component) {
       static_cast<TaskHome*>(component)->StandDown();
     });
--- a/lib/Daemon/Explain.cc
+++ b/lib/Daemon/Explain.cc
@@ -100,10 +100,21 @@
         " slots" +
         (worker->second.leaving ? "; it is leaving and gets no new work" : ""));
   }
+  if (view.draining.contains(name)) {
+    lines->push_back("worker " + name +
+                     ": holds a place in its pool's budget, drained for "
+                     "maintenance or a move");
+  }
+  if (view.assignments != nullptr && view.assignments->contains(name)) {
+    const Assignment& assignment = view.assignments->at(name);
+    lines->push_back("worker " + name + ": belongs to pool " + assignment.pool +
+                     " now, generation " + Number(assignment.generation));
+  }
   for (const auto& pool : view.intent->pools) {
     const std::vector<std::string>& workers = pool.second.workers;
     if (std::find(workers.begin(), workers.end(), name) != workers.end()) {
-      lines->push_back("worker " + name + ": belongs to pool " + pool.first);
+      lines->push_back("worker " + name + ": the intent wants it in pool " +
+                       pool.first);
     }
   }
 }
--- /dev/null
+++ b/unittests/Control/GuardsTest.cc
@@ -0,0 +1,334 @@
+// Single guards of the protocols, each by the case that it is there for.
+#include <gtest/gtest.h>
+// The property library's bridge needs the test library first.
+#include <rapidcheck/gtest.h>
+
+#include "Bench.h"
+#include "basilusher/Control/FleetPlan.h"
+#include "basilusher/Control/RetryBudget.h"
+#include "basilusher/Control/SlotScheduler.h"
+
+namespace basilusher::testing {
+namespace {
+
+TEST(Isolation, AnEntryWithoutStoreAndPeersStopsKeyedWork) {
+  Bench bench(1);
+  bench.Get("n3")->store_cut = true;
+  bench.Get("n3")->peers_cut = true;
+  bench.WithdrawKey("n1", "b");
+  bench.Advance(Millis(4000));
+  bench.Request("n3", "many", "b", "isolated");
+  bench.Advance(Millis(5000));
+  EXPECT_EQ(bench.RunsOf("isolated"), 0);
+  const Call& call = bench.calls.begin()->second;
+  EXPECT_EQ(call.answer.code, ResultCode::kIsolated);
+  EXPECT_EQ(call.answer.outcome, Outcome::kNotRun);
+}
+
+TEST(Isolation, PeersThatAgreeGoOnWithoutTheStore) {
+  Bench bench(1);
+  bench.store_down = true;
+  bench.Advance(Millis(30000));
+  bench.Request("n2", "many", "a", "outage");
+  bench.Advance(Millis(1000));
+  EXPECT_EQ(bench.RunsOf("outage"), 1);
+}
+
+TEST(Isolation, AnEntryStartedInAnOutageServesTheIntentOfItsPeers) {
+  Bench bench(1);
+  bench.store_down = true;
+  bench.Restart("n2");
+  bench.Advance(Millis(3000));
+  const ViewPtr view = bench.Get("n2")->views.Current();
+  ASSERT_NE(view->intent, nullptr);
+  EXPECT_EQ(view->intent->version, bench.AcceptedVersion());
+}
+
+/// A front door's holder of places between a fake bus and a fixed view.
+class HolderBench : public Bus, public ::testing::Test {
+ public:
+  HolderBench() {
+    views_.Update([](ClusterView* view) {
+      view->intent = std::make_shared<const Intent>(
+          ParseIntent(BenchDocument(6, "spare"), 1));
+    });
+    holder_ = std::make_unique<PlaceHolder>(Context{.self = {.instance = "n1"},
+                                                    .clock = &clock_,
+                                                    .random = &random_,
+                                                    .bus = this,
+                                                    .views = &views_});
+  }
+  void Send(const std::string& /*to*/, const Message& message) override {
+    asks_.push_back(std::get<PlaceAsk>(message));
+  }
+  void Answer(const PeerId& from, std::int64_t term, std::int64_t sequence,
+              int ceiling) {
+    holder_->OnMessage(from, PlaceAnswer{.team = "a",
+                                         .term = term,
+                                         .sequence = sequence,
+                                         .ceiling = ceiling,
+                                         .basis = 6});
+  }
+  void Announce(std::int64_t term, const PeerId& home) {
+    holder_->OnMessage(home,
+                       PlaceTerm{.team = "a", .term = term, .home = home});
+  }
+
+ protected:
+  FakeClock clock_;
+  SeededRandom random_{1};
+  ViewHub views_;
+  std::vector<PlaceAsk> asks_;
+  std::unique_ptr<PlaceHolder> holder_;
+  PeerId first_{"h1", 1};
+  PeerId second_{"h2", 1};
+};
+
+TEST_F(HolderBench, TakesOnlyTheAnswerToItsLastAsk) {
+  Announce(1, first_);
+  const std::int64_t early = asks_.back().sequence;
+  Announce(1, first_);
+  Answer(first_, 1, early, 5);
+  EXPECT_EQ(holder_->Ceiling("a"), 0);
+  Answer(first_, 1, asks_.back().sequence, 5);
+  EXPECT_EQ(holder_->Ceiling("a"), 5);
+  Answer(first_, 1, asks_.back().sequence, 6);
+  EXPECT_EQ(holder_->Ceiling("a"), 5) << "an answer was taken twice";
+}
+
+TEST_F(HolderBench, RefusesAnswersOfAStaleTerm) {
+  Announce(1, first_);
+  const std::int64_t sequence = asks_.back().sequence;
+  Announce(2, second_);
+  EXPECT_EQ(asks_.back().term, 2);
+  Answer(first_, 1, sequence, 5);
+  Answer(first_, 1, asks_.back().sequence, 5);
+  Answer(first_, 2, asks_.back().sequence, 5);
+  EXPECT_EQ(holder_->Ceiling("a"), 0);
+  Announce(1, first_);
+  Answer(first_, 1, asks_.back().sequence, 5);
+  EXPECT_EQ(holder_->Ceiling("a"), 0);
+}
+
+TEST_F(HolderBench, KeepsItsCeilingThroughSilence) {
+  Announce(1, first_);
+  Answer(first_, 1, asks_.back().sequence, 4);
+  ASSERT_TRUE(holder_->TryTake("a"));
+  for (int n = 0; n < 200; ++n) {
+    clock_.now += kTickPeriod;
+    holder_->SetWaiting("a", 3);
+    holder_->OnTick();
+  }
+  EXPECT_EQ(holder_->Ceiling("a"), 4);
+  EXPECT_EQ(holder_->InUse("a"), 1);
+}
+
+TEST(FrontDoorAttempts, AResultServesItsOwnAttemptOnly) {
+  Bench bench(1);
+  bench.Request("n1", "many", "a", "own");
+  bench.Advance(Millis(20));
+  bench.Get("n1")->front->OnDispatched(
+      "r0", 7, {.status = DispatchStatus::kAnswered, .body = "another's"});
+  bench.Advance(Millis(2000));
+  const Call& call = bench.calls.at("r0");
+  EXPECT_EQ(call.answers, 1);
+  EXPECT_EQ(call.answer.body, "answer to own");
+}
+
+/// Random reports, limits and removals against one ledger.
+RC_GTEST_PROP(PlaceLedger, NeverGivesOutMoreThanTheLimit, ()) {
+  const int limit = *rc::gen::inRange(0, 30);
+  const int holders = *rc::gen::inRange(1, 8);
+  PlaceLedger ledger({.team = "t", .term = 1, .basis = limit});
+  ledger.SetLimit(limit);
+  std::vector<std::string> names;
+  std::vector<int> held(static_cast<std::size_t>(holders), 0);
+  for (int n = 0; n < holders; ++n) {
+    names.push_back("h" + std::to_string(n) + "#1");
+  }
+  ledger.SetRecord(ledger.WantedRecord(names));
+  const std::vector<std::pair<int, int>> steps =
+      *rc::gen::container<std::vector<std::pair<int, int>>>(
+          rc::gen::pair(rc::gen::inRange(0, holders), rc::gen::inRange(0, 40)));
+  std::int64_t sequence = 0;
+  for (const std::pair<int, int>& step : steps) {
+    int& own = held[static_cast<std::size_t>(step.first)];
+    // A holder may lower its ceiling before it reports.
+    if (step.second % 3 == 0) own /= 2;
+    const std::optional<PlaceAnswer> answer = ledger.OnAsk(
+        {"h" + std::to_string(step.first), 1}, {.team = "t",
+                                                .term = 1,
+                                                .sequence = ++sequence,
+                                                .ceiling = own,
+                                                .basis = limit,
+                                                .wanted = step.second});
+    RC_ASSERT(answer.has_value());
+    RC_ASSERT(answer->ceiling >= own);
+    // Some answers never arrive; the next report then says so.
+    if (step.second % 5 != 0) own = answer->ceiling;
+    int out = 0;
+    for (int part : held) out += part;
+    RC_ASSERT(out <= limit);
+    RC_ASSERT(ledger.Out() >= out);
+  }
+}
+
+TEST(RetryBudget, RetriesStayAFractionOfFirstAttempts) {
+  RetryBudget budget;
+  int retries = 0;
+  for (int n = 0; n < 1000; ++n) {
+    budget.OnFirstAttempt("q", "t");
+    while (budget.TryRetry("q", "t")) ++retries;
+  }
+  EXPECT_LE(retries, 210);
+  EXPECT_GT(retries, 190);
+}
+
+TEST(WorkerHealth, FailingWorkersAreLeftAloneAndProbed) {
+  WorkerHealth health;
+  health.SetBudget(1);
+  const TimePoint now{Millis(1000)};
+  for (int n = 0; n < 8; ++n) {
+    const std::string request = "r" + std::to_string(n);
+    health.Record("bad", request, SlotResult::kFailed, now);
+    health.Record("worse", request + "x", SlotResult::kFailed, now);
+  }
+  EXPECT_TRUE(health.IsQuarantined("bad"));
+  EXPECT_FALSE(health.IsQuarantined("worse")) << "beyond the pool's budget";
+  EXPECT_EQ(health.AllowedSlots("bad", 8, now), 0);
+  EXPECT_EQ(health.AllowedSlots("bad", 8, now + Millis(600)), 1);
+  health.Record("bad", "probe", SlotResult::kAnswered, now + Millis(600));
+  EXPECT_EQ(health.AllowedSlots("bad", 8, now + Millis(600)), 8);
+}
+
+TEST(WorkerHealth, WorkThatFailsEverywhereIsNotHeldAgainstWorkers) {
+  WorkerHealth health;
+  const TimePoint now{Millis(1000)};
+  for (int n = 0; n < 20; ++n) {
+    const std::string poison = "poison" + std::to_string(n);
+    for (const char* worker : {"w1", "w2", "w3"}) {
+      health.Record(worker, poison, SlotResult::kFailed, now);
+    }
+  }
+  for (const char* worker : {"w2", "w3"}) {
+    EXPECT_FALSE(health.IsQuarantined(worker)) << worker;
+  }
+}
+
+TEST(SlotScheduler, SharesAFullPoolByWeight) {
+  SlotScheduler scheduler;
+  const TimePoint now{Millis(1000)};
+  std::vector<WorkerInfo> workers(3);
+  for (int n = 0; n < 3; ++n) {
+    workers[static_cast<std::size_t>(n)].id = "w" + std::to_string(n);
+  }
+  scheduler.SetPool(
+      workers, 1,
+      {{"a", {.name = "a", .share = 2}}, {"b", {.name = "b", .share = 1}}});
+  for (int n = 0; n < 100; ++n) {
+    for (const char* team : {"a", "b"}) {
+      scheduler.Ask({"e", 1},
+                    {.request_id = team + std::to_string(n),
+                     .team = team,
+                     .wait_ms = 5000,
+                     .hold_ms = 5000,
+                     .max_waiting = 1000},
+                    now);
+    }
+  }
+  EXPECT_EQ(scheduler.Schedule(now).size(), 24U);
+  EXPECT_EQ(scheduler.InUseOf("a"), 16);
+  EXPECT_EQ(scheduler.InUseOf("b"), 8);
+}
+
+TEST(SlotScheduler, UrgentWorkGoesFirstAndLedgersDoNotStarve) {
+  SlotScheduler scheduler;
+  TimePoint now{Millis(1000)};
+  WorkerInfo worker{.id = "w", .slots = 1};
+  scheduler.SetPool({worker}, 1, {});
+  const auto ask = [&](const std::string& id, WorkClass work_class) {
+    scheduler.Ask({"e", 1},
+                  {.request_id = id,
+                   .team = "t",
+                   .work_class = work_class,
+                   .wait_ms = 60000,
+                   .hold_ms = 60000,
+                   .max_waiting = 1000},
+                  now);
+  };
+  ask("ledger", WorkClass::kBackground);
+  ask("gate", WorkClass::kUrgent);
+  EXPECT_EQ(scheduler.Schedule(now).at(0).key.request_id, "gate");
+  bool ledger_ran = false;
+  std::string running = "gate";
+  for (int n = 0; n < 200 && !ledger_ran; ++n) {
+    now += Millis(50);
+    scheduler.Done(
+        {"e", 1},
+        {.request_id = running, .worker = "w", .result = SlotResult::kAnswered},
+        now);
+    ask("gate" + std::to_string(n), WorkClass::kUrgent);
+    running = scheduler.Schedule(now).at(0).key.request_id;
+    ledger_ran = running == "ledger";
+  }
+  EXPECT_TRUE(ledger_ran);
+}
+
+/// A pool of `count` serving members, four to a rack.
+PoolSituation ServingPool(int count, int budget) {
+  PoolSituation situation{.pool = "p", .budget = budget};
+  for (int n = 0; n < count; ++n) {
+    const std::string id = "w" + std::to_string(n);
+    situation.members.push_back(id);
+    situation.listed[id] = {.id = id, .rack = "r" + std::to_string(n / 4)};
+    situation.wanted_pools[id] = "p";
+  }
+  return situation;
+}
+
+TEST(FleetPlan, LossesEatTheBudgetFirst) {
+  PoolSituation situation = ServingPool(8, 2);
+  for (auto& row : situation.listed) row.second.wants_maintenance = true;
+  EXPECT_EQ(DecidePool(situation).size(), 1U);
+  situation.listed.erase("w7");
+  EXPECT_EQ(DecidePool(situation).size(), 1U);
+  situation.record.places["w0"] = {};
+  for (const FleetAction& action : DecidePool(situation)) {
+    EXPECT_NE(action.step, FleetStep::kTakePlace);
+  }
+}
+
+TEST(FleetPlan, CorrelatedLossStopsTheWave) {
+  PoolSituation situation = ServingPool(12, 6);
+  for (auto& row : situation.listed) row.second.wants_maintenance = true;
+  situation.listed.erase("w1");
+  situation.listed.erase("w2");
+  EXPECT_TRUE(DecidePool(situation).empty());
+}
+
+TEST(FleetPlan, AWaveFinishesARackFirst) {
+  PoolSituation situation = ServingPool(8, 3);
+  for (auto& row : situation.listed) row.second.wants_maintenance = true;
+  situation.record.places["w5"] = {};
+  const std::vector<FleetAction> actions = DecidePool(situation);
+  EXPECT_EQ(actions.back().step, FleetStep::kTakePlace);
+  EXPECT_EQ(situation.listed[actions.back().instance].rack, "r1");
+}
+
+TEST(FleetPlan, AStaleListingDoesNotEndAMaintenance) {
+  PoolSituation situation = ServingPool(2, 1);
+  situation.record.places["w0"] = {.maintained = 3};
+  situation.listed["w0"].maintained = 3;
+  situation.drained = {"w0"};
+  EXPECT_EQ(DecidePool(situation).at(0).step, FleetStep::kRelease);
+  situation.listed["w0"].maintained = 4;
+  situation.listed["w0"].rebooting = true;
+  EXPECT_NE(DecidePool(situation).at(0).step, FleetStep::kReturnPlace);
+  situation.listed["w0"].rebooting = false;
+  EXPECT_EQ(DecidePool(situation).at(0).step, FleetStep::kAdmit);
+  situation.admitted = {"w0"};
+  EXPECT_EQ(DecidePool(situation).at(0).step, FleetStep::kReturnPlace);
+}
+
+}  // namespace
+}  // namespace basilusher::testing
--- a/utils/cluster.py
+++ b/utils/cluster.py
@@ -272,6 +272,27 @@
         rows = (line.split() for line in text.splitlines())
         return {name: int(value) for name, value in rows}
 
+    def notice(self, workers):
+        """The platform announces maintenance of these workers."""
+        url = f"http://127.0.0.1:{self.platform_port}/instances/notice"
+        call(url, "POST", json.dumps(workers).encode())
+
+    peak_rebooting = 0
+
+    def listed(self):
+        """The platform's list of workers, by id."""
+        url = f"http://127.0.0.1:{self.platform_port}/instances"
+        workers = json.loads(call(url)[2])["workers"]
+        rebooting = sum(worker.get("rebooting", False) for worker in workers)
+        self.peak_rebooting = max(self.peak_rebooting, rebooting)
+        return {
+            worker["id"]: {
+                "maintained": worker.get("maintained", 0),
+                "rebooting": worker.get("rebooting", False),
+            }
+            for worker in workers
+        }
+
     def worker_records(self):
         records = []
         for info in self.worker_infos:
--- a/utils/run_demo.py
+++ b/utils/run_demo.py
@@ -3,6 +3,7 @@
 import argparse
 import collections
 import json
+import os
 import shutil
 import sys
 import time
@@ -59,6 +60,49 @@
         print(f"{name:22} {count / seconds:11.1f}")
 
 
+def start_wave(deployment):
+    """Announces maintenance of one pool and moves a worker of another."""
+    services = deployment.service_files()
+    pool = services[0]
+    deployment.notice(pool["workers"])
+    copy = os.path.join(deployment.directory, "intent")
+    shutil.copytree(deployment.intent_dir, copy)
+    source, target = services[1], services[2]
+    worker = source["workers"].pop()
+    target["workers"].append(worker)
+    for service in (source, target):
+        path = os.path.join(copy, service["service"], "service.json")
+        with open(path, "w", encoding="utf-8") as out:
+            json.dump(service, out)
+    deployment.ctl("publish", copy)
+    print(f"announced maintenance of {len(pool['workers'])} workers of "
+          f"{pool['pool']} (budget {pool['availabilityBudget']}), moved "
+          f"{worker} from {source['pool']} to {target['pool']}", flush=True)
+    return pool["workers"], worker, target["pool"]
+
+
+def check_wave(deployment, wave):
+    """Waits for the wave's end; returns broken promises."""
+    workers, moved, target = wave
+    start = time.monotonic()
+    try:
+        cluster.wait_until(
+            lambda: all(deployment.listed()[worker]["maintained"] == 1
+                        and not deployment.listed()[worker]["rebooting"]
+                        for worker in workers),
+            "the wave", 120)
+        cluster.wait_until(
+            lambda: f"belongs to pool {target} now" in deployment.ctl(
+                "explain", moved, check=False).stdout.decode(),
+            "the move", 60)
+    except TimeoutError as error:
+        return [str(error)]
+    print(f"the wave and the move were over {time.monotonic() - start:.1f} s "
+          "after the load")
+    return [f"{deployment.peak_rebooting} workers rebooting at once over the "
+            "budget"] if deployment.peak_rebooting > 2 else []
+
+
 def run(arguments):
     deployment = cluster.Cluster(arguments.deployment, arguments.build)
     try:
@@ -74,6 +118,7 @@
             load_parts(deployment), arguments.seconds * 1000, arguments.seed
         )
         killed = None
+        wave = start_wave(deployment) if arguments.wave else None
         if arguments.kill_entry:
             time.sleep(arguments.seconds / 2)
             killed = deployment.entry_infos[arguments.kill_entry - 1]
@@ -86,6 +131,8 @@
         broken = promises.check(
             records, deployment.worker_records(), deployment.teams()
         )
+        if wave:
+            broken += check_wave(deployment, wave)
         if killed:
             del deployment.entries[killed["instance"]]
         else:
@@ -131,6 +178,9 @@
         metavar="NUMBER",
         help="kill this entry (1 to 7) in the middle of the load",
     )
+    parser.add_argument(
+        "--wave", action="store_true",
+        help="a maintenance wave and a move while the load runs")
     sys.exit(run(parser.parse_args()))
 
 
