--- a/lib/Control/FleetPlan.cc
+++ b/lib/Control/FleetPlan.cc
@@ -97,6 +97,7 @@
       ranked.begin(), ranked.end(),
       [](const auto& a, const auto& b) { return a.first < b.first; });
   std::vector<FleetAction> actions;
+  actions.reserve(ranked.size());
   for (const auto& row : ranked) actions.push_back(row.second);
   return actions;
 }
--- a/lib/Transport/WebsocketTransport.cc
+++ b/lib/Transport/WebsocketTransport.cc
@@ -98,10 +98,13 @@
 
   void Stop() override {
     if (stopped_.exchange(true)) return;
-    if (thread_.joinable()) {
+    if (!thread_.joinable()) return;
+    // Sockets belong to the transport's thread.
+    io_.post([this] {
+      CloseAll();
       io_.stop();
-      thread_.join();
-    }
+    });
+    thread_.join();
   }
 
  private:
@@ -119,6 +122,32 @@
         });
   }
 
+  /// Ends every connection at once, so that peers see it without a timeout.
+  void CloseAll() {
+    std::map<std::string, Link> links;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      links.swap(links_);
+    }
+    for (const std::pair<const std::string, Link>& row : links) {
+      if (row.second.dialled) {
+        CloseSocket(&client_, row.second.handle);
+      } else {
+        CloseSocket(&server_, row.second.handle);
+      }
+    }
+  }
+
+  template <typename Endpoint>
+  static void CloseSocket(Endpoint* endpoint, const Handle& handle) {
+    websocketpp::lib::error_code ec;
+    typename Endpoint::connection_ptr connection =
+        endpoint->get_con_from_hdl(handle, ec);
+    if (ec) return;
+    websocketpp::lib::asio::error_code close_ec;
+    connection->get_raw_socket().close(close_ec);
+  }
+
   void ScheduleRedial() {
     client_.set_timer(kRedialPeriod.count(),
                       [this](const websocketpp::lib::error_code& ec) {
--- a/test/process_faults_test.py
+++ b/test/process_faults_test.py
@@ -159,6 +159,42 @@
         )
 
 
+class LogTest(support.DeploymentTest):
+    """Logs hold no key, token or payload; a trace is followed in them."""
+
+    def test_logs_and_trace(self):
+        trace = "4bf92f3577b34da6a3ce929d0e0e4736"
+        reply = self.post(
+            "gate-counts", b"work=1 id=payload-of-the-caller\n",
+            "returns-docks", traceparent=f"00-{trace}-00f067aa0ba902b7-01",
+        )
+        self.assertEqual(reply[1]["X-Outcome"], "ran")
+        self.assertIn(trace, reply[1]["traceparent"])
+        logs = [self.deployment.path(info["instance"] + ".log")
+                for info in self.deployment.entry_infos]
+        cluster.wait_until(
+            lambda: any(trace in self.read(path) for path in logs), "the span"
+        )
+        secrets = [self.deployment.token, "payload-of-the-caller",
+                   *self.deployment.keys.values()]
+        for path in logs:
+            text = self.read(path)
+            for line in text.splitlines():
+                self.assertIn("event", json.loads(line))
+            for secret in secrets:
+                self.assertNotIn(secret, text)
+        tree = self.deployment.ctl("trace", *logs, "--id", trace).stdout
+        self.assertIn(b"request", tree)
+        self.assertIn(b"  dispatch", tree)
+        explained = self.deployment.ctl("explain", "returns-docks").stdout
+        self.assertIn(b"upper limit 120", explained)
+
+    @staticmethod
+    def read(path):
+        with open(path, encoding="utf-8") as source:
+            return source.read()
+
+
 class SettingsTest(unittest.TestCase):
     def daemon(self, *arguments):
         return subprocess.run(
--- a/utils/mutate.py
+++ b/utils/mutate.py
@@ -29,15 +29,20 @@
     with open(path, "w", encoding="utf-8") as out:
         out.write(text.replace(mutation["from"], mutation["to"]))
     try:
-        build = run(["ninja", "-C", "build", "ControlTests"], copy)
+        build = run(
+            ["ninja", "-C", "build", "ControlTests", "ModelTests"], copy
+        )
         if build.returncode != 0:
             return "does not compile"
         environment = dict(os.environ, BASILUSHER_SEEDS=str(seeds))
-        test = run(
-            ["build/unittests/ControlTests", "--gtest_brief=1"],
-            copy, environment,
-        )
-        return "survived" if test.returncode == 0 else "killed"
+        for program in ("ModelTests", "ControlTests"):
+            test = run(
+                ["build/unittests/" + program, "--gtest_brief=1"],
+                copy, environment,
+            )
+            if test.returncode != 0:
+                return "killed"
+        return "survived"
     finally:
         with open(path, "w", encoding="utf-8") as out:
             out.write(text)
