--- a/include/basilusher/Control/ConfigAgent.h
+++ b/include/basilusher/Control/ConfigAgent.h
@@ -100,6 +100,7 @@
   std::int64_t stored_keys_version_ = 0;
   bool writing_keys_ = false;
   TimePoint next_key_write_{};
+  TimePoint next_key_check_{};
   std::vector<std::function<void(const KeyChangeResult&)>> key_waiters_;
   std::map<std::string, TimePoint> next_push_;
 };
--- a/include/basilusher/Control/MembershipAgent.h
+++ b/include/basilusher/Control/MembershipAgent.h
@@ -17,7 +17,7 @@
 /// long can't know of withdrawals and is isolated.
 inline constexpr Millis kKnowledgeLimit{3000};
 /// A peer that was not heard for this long is not routed to.
-inline constexpr Millis kPeerSilence{1500};
+inline constexpr Millis kPeerSilence{2500};
 
 /// Not thread-safe.
 class MembershipAgent : public Component {
--- a/lib/Control/ConfigAgent.cc
+++ b/lib/Control/ConfigAgent.cc
@@ -16,6 +16,8 @@
 /// the entry that took the change can do it first.
 constexpr Millis kKeyWriteDelay{2000};
 constexpr Millis kKeyWriteRetry{500};
+/// Period of the comparison of own keys with those in the store.
+constexpr Millis kKeyCheckPeriod{500};
 constexpr Millis kPushPeriod{200};
 constexpr int kHeadTries = 4;
 constexpr int kOperationDigits = 16;
@@ -243,8 +245,11 @@
 void ConfigAgent::OnTick() {
   const TimePoint now = context_.clock->Now();
   if (wanted_.version > version_ && now >= next_fetch_) FetchChunks(wanted_);
+  if (!key_waiters_.empty()) WriteKeys();
+  if (now < next_key_check_) return;
+  next_key_check_ = now + kKeyCheckPeriod;
   KeySet stored = stored_keys_;
-  if (!key_waiters_.empty() || stored.Merge(*context_.views->Current()->keys)) {
+  if (stored.Merge(*context_.views->Current()->keys)) {
     WriteKeys();
   }
 }
--- a/lib/Control/MembershipAgent.cc
+++ b/lib/Control/MembershipAgent.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr Millis kRenewPeriod{1000};
-constexpr Millis kHeartbeatPeriod{500};
+constexpr Millis kHeartbeatPeriod{1000};
 /// A peer whose connection ended is routed around after this time, unless it
 /// is heard again.
 constexpr Millis kDisconnectGrace{200};
--- a/lib/Daemon/EntryDaemon.cc
+++ b/lib/Daemon/EntryDaemon.cc
@@ -20,8 +20,8 @@
 namespace {
 
 constexpr Millis kInstanceListPeriod{1000};
-constexpr Millis kMaintenancePeriod{100};
-constexpr Millis kClaimTick{10};
+constexpr Millis kMaintenancePeriod{250};
+constexpr Millis kClaimTick{25};
 constexpr int kActorThreads = 2;
 /// Each makes one call to a worker at a time.
 constexpr int kPoolThreads = kControlConnections;
--- a/tools/basilusherd/main.cc
+++ b/tools/basilusherd/main.cc
@@ -7,6 +7,7 @@
 
 #include "basilusher/Daemon/EntryDaemon.h"
 #include "basilusher/Support/Log.h"
+#include "basilusher/Support/StopSignals.h"
 
 namespace {
 
@@ -21,20 +22,8 @@
   int version = 0;
 };
 
-/// Blocks the signals that ask for a stop, so that one thread can wait for
-/// them.
-sigset_t BlockStopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  signal(SIGPIPE, SIG_IGN);
-  return signals;
-}
-
 int RunDaemon(const basilusher::Settings& settings) {
-  const sigset_t signals = BlockStopSignals();
+  const basilusher::StopSignals signals;
   basilusher::OpenLog(
       {.process = settings.instance, .file = settings.log_file});
   bool drained = false;
@@ -42,8 +31,7 @@
     basilusher::EntryDaemon daemon(settings);
     daemon.Start();
     std::thread waiter([&signals, &daemon] {
-      int signal_number = 0;
-      sigwait(&signals, &signal_number);
+      signals.Wait();
       daemon.RequestStop();
     });
     drained = daemon.Run();
