Work a round of the fleet's decisions out once for all pools

Cause: an entry at 201 pools and 670 workers used 5.00% of a core at rest; each pool's decision copied the whole list of workers four times a second. Ruled out: teams (260 teams at 50 workers: 2.80%) and the list itself (670 workers in 5 pools: 1.80%). A round now sorts members by pool once, hands each decision its own members, and comes twice a second.

--- a/include/basilusher/Control/FleetAgent.h
+++ b/include/basilusher/Control/FleetAgent.h
@@ -67,13 +67,22 @@
   bool IsHome(const std::string& subject) const;
   void UpdateView();
   void TickAssignments();
-  void TickPool(const std::string& pool, int budget);
+  /// What all pools of one round share, worked out once.
+  struct Round {
+    ViewPtr view;
+    std::map<std::string, std::vector<std::string>> members;
+    std::map<std::string, std::string> wanted_pools;
+  };
+
+  Round BeginRound(const ViewPtr& view) const;
+  void TickPool(const Round& round, const std::string& pool, int budget);
   using Marks = std::map<std::string, BudgetPlace>;
 
   /// Instances marked under the place that they hold now.
   static std::vector<std::string> MarkedUnderPlace(const PoolState& state,
                                                    const Marks& marks);
-  PoolSituation SituationOf(const std::string& pool, int budget) const;
+  PoolSituation SituationOf(const Round& round, const std::string& pool,
+                            int budget) const;
   void Act(const std::string& pool, const FleetAction& action);
   void SwapRecord(const std::string& pool, const PoolRecord& next);
   void AskDrained(const std::string& pool, const WorkerInfo& worker);
--- a/lib/Control/FleetAgent.cc
+++ b/lib/Control/FleetAgent.cc
@@ -7,7 +7,7 @@
 namespace basilusher {
 namespace {
 
-constexpr Millis kRoundPeriod{250};
+constexpr Millis kRoundPeriod{500};
 
 }  // namespace
 
@@ -68,11 +68,27 @@
   next_round_ = now + kRoundPeriod;
   if (!assignments_known_) return;
   TickAssignments();
+  // Before the platform has listed anything every member would look lost.
+  if (view->workers.empty()) return;
+  const Round round = BeginRound(view);
   for (const auto& row : view->intent->pools) {
     if (IsHome(FleetSubject(row.first))) {
-      TickPool(row.first, row.second.availability_budget);
+      TickPool(round, row.first, row.second.availability_budget);
+    }
+  }
+}
+
+FleetAgent::Round FleetAgent::BeginRound(const ViewPtr& view) const {
+  Round round{.view = view};
+  for (const auto& row : assignments_) {
+    round.members[row.second.pool].push_back(row.first);
+  }
+  for (const auto& row : view->intent->pools) {
+    for (const std::string& instance : row.second.workers) {
+      round.wanted_pools[instance] = row.first;
     }
   }
+  return round;
 }
 
 void FleetAgent::TickAssignments() {
@@ -114,33 +130,38 @@
   return names;
 }
 
-PoolSituation FleetAgent::SituationOf(const std::string& pool,
+PoolSituation FleetAgent::SituationOf(const Round& round,
+                                      const std::string& pool,
                                       int budget) const {
-  const ViewPtr view = context_.views->Current();
-  PoolSituation situation{
-      .pool = pool, .budget = budget, .listed = view->workers};
+  PoolSituation situation{.pool = pool, .budget = budget};
+  const auto members = round.members.find(pool);
+  if (members != round.members.end()) situation.members = members->second;
+  std::vector<std::string> concerned = situation.members;
   const auto state = pools_.find(pool);
   if (state != pools_.end()) {
     situation.record = state->second.record;
     situation.drained = MarkedUnderPlace(state->second, state->second.drained);
     situation.admitted =
         MarkedUnderPlace(state->second, state->second.admitted);
+    for (const auto& place : situation.record.places) {
+      concerned.push_back(place.first);
+    }
   }
-  for (const auto& row : assignments_) {
-    if (row.second.pool == pool) situation.members.push_back(row.first);
-  }
-  for (const auto& row : view->intent->pools) {
-    for (const std::string& instance : row.second.workers) {
-      situation.wanted_pools[instance] = row.first;
+  for (const std::string& instance : concerned) {
+    const auto listed = round.view->workers.find(instance);
+    if (listed != round.view->workers.end()) situation.listed.insert(*listed);
+    const auto wanted = round.wanted_pools.find(instance);
+    if (wanted != round.wanted_pools.end()) {
+      situation.wanted_pools.insert(*wanted);
     }
   }
   return situation;
 }
 
-void FleetAgent::TickPool(const std::string& pool, int budget) {
-  // Before the platform has listed anything every member would look lost.
-  if (context_.views->Current()->workers.empty()) return;
-  for (const FleetAction& action : DecidePool(SituationOf(pool, budget))) {
+void FleetAgent::TickPool(const Round& round, const std::string& pool,
+                          int budget) {
+  for (const FleetAction& action :
+       DecidePool(SituationOf(round, pool, budget))) {
     Act(pool, action);
   }
 }
--- a/lib/Daemon/HttpFrontend.cc
+++ b/lib/Daemon/HttpFrontend.cc
@@ -237,7 +237,7 @@
     response->set_header("traceparent", FormatTraceparent(span.context));
     span.end_micros = WallMicros();
     span.attributes = {{"request", id},
-                       {"queue", std::string(request.matches[1])},
+                       {"queue", request.matches[1].str()},
                        {"outcome", NameOf(kOutcomeNames, answer.outcome)},
                        {"code", static_cast<int>(answer.code)}};
     LogSpan(span);
--- a/lib/Standin/FaultTable.cc
+++ b/lib/Standin/FaultTable.cc
@@ -31,7 +31,7 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   for (auto it = faults_.begin(); it != faults_.end(); ++it) {
     if (it->operation != "*" && it->operation != operation) continue;
-    const Fault fault = *it;
+    Fault fault = *it;
     if (it->calls > 0 && --it->calls == 0) faults_.erase(it);
     return fault;
   }
--- a/tools/basilusherd/main.cc
+++ b/tools/basilusherd/main.cc
@@ -1,6 +1,7 @@
 // The entry daemon.
 #include <popt.h>
 #include <signal.h>
+#include <unistd.h>
 
 #include <cstdio>
 #include <thread>
@@ -36,7 +37,7 @@
     });
     drained = daemon.Run();
     // A stop that no signal asked for: wakes the waiting thread.
-    pthread_kill(waiter.native_handle(), SIGTERM);
+    kill(getpid(), SIGTERM);
     waiter.join();
   }
   basilusher::CloseLog();
