Ask for teams' homes twice a second, not at every tick

Cause: an entry with 260 teams used 3.25% of a core at rest: at each of 20 ticks a second it hashed every team over all entries and worked out the ceilings that its teams' records should have. Both now happen twice a second.

--- a/include/basilusher/Control/PlaceHome.h
+++ b/include/basilusher/Control/PlaceHome.h
@@ -49,6 +49,7 @@
     std::unique_ptr<PlaceLedger> ledger;
     bool busy = false;
     TimePoint next_read{};
+    TimePoint next_update{};
     TimePoint next_announcement{};
     TimePoint next_recall{};
     TimePoint next_survey{};
--- a/lib/Control/PlaceHome.cc
+++ b/lib/Control/PlaceHome.cc
@@ -20,6 +20,7 @@
 }
 
 constexpr Millis kReadPeriod{500};
+constexpr Millis kUpdatePeriod{500};
 constexpr Millis kAnnouncePeriod{250};
 constexpr Millis kRecallPeriod{100};
 constexpr Millis kSurveyPeriod{1000};
@@ -79,11 +80,9 @@
       TickHome(row.first, &state);
       continue;
     }
-    if (state.busy || now < state.next_read || !ShouldTake(row.first, state)) {
-      continue;
-    }
+    if (state.busy || now < state.next_read) continue;
     state.next_read = now + kReadPeriod;
-    ReadRecord(row.first);
+    if (ShouldTake(row.first, state)) ReadRecord(row.first);
   }
 }
 
@@ -158,7 +157,9 @@
 }
 
 void PlaceHome::UpdateRecord(const std::string& team, TeamState* state) {
-  if (state->busy) return;
+  const TimePoint now = context_.clock->Now();
+  if (state->busy || now < state->next_update) return;
+  state->next_update = now + kUpdatePeriod;
   const ViewPtr view = context_.views->Current();
   std::vector<std::string> holders;
   for (const std::pair<const std::string, EntryInfo>& row : view->entries) {
@@ -166,12 +167,9 @@
   }
   const PlaceRecord wanted = state->ledger->WantedRecord(holders);
   const PlaceRecord& record = state->ledger->Record();
-  const TimePoint now = context_.clock->Now();
   if (wanted.ceilings == record.ceilings && wanted.basis == record.basis) {
     return;
   }
-  if (now < state->next_read) return;
-  state->next_read = now + kReadPeriod;
   state->busy = true;
   state->ledger->BeginRecord(wanted);
   context_.store->Swap(StorePurpose::kPlace,
