--- a/test/bad_input_test.py
+++ b/test/bad_input_test.py
@@ -1,6 +1,7 @@
 """Bad input: each case has its numbered code, and the process goes on."""
 
 import json
+import random
 import socket
 import unittest
 
@@ -100,6 +101,31 @@
         self.assertEqual(runs_after, runs_before)
         self.assertTrue(self.serves(self.deployment.entry_infos[0]))
 
+    def test_changed_requests(self):
+        """Random changes of a good request, from a fixed seed."""
+        dice = random.Random(20261204)
+        good = (
+            "POST /v1/queues/gate-counts/requests HTTP/1.1\r\nHost: x\r\n"
+            f"X-Team-Key: {self.deployment.keys['returns-docks']}\r\n"
+            "Content-Length: 12\r\n\r\nwork=0 id=f\n"
+        ).encode()
+        answered = 0
+        for _ in range(300):
+            data = bytearray(good)
+            for _ in range(dice.randrange(1, 6)):
+                data[dice.randrange(len(data))] = dice.randrange(256)
+            try:
+                reply = self.raw(
+                    bytes(data[: dice.randrange(1, len(data) + 1)]), shut=True
+                )
+            except ConnectionError:
+                continue
+            if reply:
+                answered += 1
+                self.assertTrue(reply.startswith(b"HTTP/1.1 "))
+        self.assertGreater(answered, 50)
+        self.assertTrue(self.serves(self.deployment.entry_infos[0]))
+
 
 class HalfClosedTest(BadInputTest):
     """A caller that closes its sending side still gets its answer."""
@@ -107,6 +133,7 @@
     test_table = None
     test_reused_idempotency_key = None
     test_broken_connections = None
+    test_changed_requests = None
 
     def test_half_closed_after_the_request_is_answered(self):
         body = b"work=1 id=half\n"
