--- a/lib/Control/Journal.cc
+++ b/lib/Control/Journal.cc
@@ -299,7 +299,9 @@
       WallMicros() -
       std::chrono::duration_cast<std::chrono::microseconds>(retention).count();
   for (auto it = sealed_.begin(); it != sealed_.end();) {
-    if (it->sealed_micros > limit) {
+    // The segment before the tail stays: from it a reader learns the tail's
+    // number even if the tail has not been written yet.
+    if (it->sealed_micros > limit || it->number + 1 >= tail_number_) {
       ++it;
       continue;
     }
--- a/lib/Model/IntentSchema.h
+++ b/lib/Model/IntentSchema.h
@@ -11,7 +11,7 @@
   "properties": {
     "name": {"type": "string", "minLength": 1},
     "sparePool": {"type": "string", "minLength": 1},
-    "claimRetentionMillis": {"type": "integer", "minimum": 1000},
+    "claimRetentionMillis": {"type": "integer", "minimum": 7200000},
     "weights": {
       "type": "object",
       "additionalProperties": false,
--- a/unittests/Control/GuardsTest.cc
+++ b/unittests/Control/GuardsTest.cc
@@ -123,6 +123,45 @@
   EXPECT_EQ(holder_->InUse("a"), 1);
 }
 
+TEST(Journal, KeepsTheLastSegmentSoThatNumbersNeverStartAnew) {
+  Bench bench(1);
+  Node* node = bench.Get("n1");
+  const Context context{.self = node->info,
+                        .clock = &bench.clock,
+                        .random = &bench.random,
+                        .store = node->store.get(),
+                        .counters = &node->counters};
+  Journal journal(context, {.prefix = "t/", .segment_bytes = 60},
+                  [](const Json& /*record*/) {});
+  int committed = 0;
+  for (int n = 0; n < 6; ++n) {
+    journal.Append({{"n", n}}, [] { return true; },
+                   [&committed](AppendResult result) {
+                     if (result == AppendResult::kCommitted) ++committed;
+                   });
+    for (int tick = 0; tick < 10; ++tick) {
+      bench.Advance(Millis(20));
+      journal.OnTick();
+    }
+  }
+  EXPECT_EQ(committed, 6);
+  ASSERT_GT(bench.store.List("t/").entries.size(), 2U);
+  journal.ExpireSegments(Millis(-1000));
+  bench.Advance(Millis(100));
+  EXPECT_EQ(bench.store.List("t/").entries.size(), 1U);
+  // A home that reads the journal now goes on after the last number.
+  Journal other(context, {.prefix = "t/", .segment_bytes = 60},
+                [](const Json& /*record*/) {});
+  other.Append({{"n", 7}}, [] { return true; }, [](AppendResult) {});
+  for (int tick = 0; tick < 10; ++tick) {
+    bench.Advance(Millis(20));
+    other.OnTick();
+  }
+  const StoreReply after = bench.store.List("t/");
+  ASSERT_EQ(after.entries.size(), 2U);
+  EXPECT_GT(after.entries[1].key, after.entries[0].key);
+}
+
 TEST(FrontDoorAttempts, AResultServesItsOwnAttemptOnly) {
   Bench bench(1);
   bench.Request("n1", "many", "a", "own");
