--- a/unittests/Control/GuardsTest.cc
+++ b/unittests/Control/GuardsTest.cc
@@ -135,10 +135,11 @@
                   [](const Json& /*record*/) {});
   int committed = 0;
   for (int n = 0; n < 6; ++n) {
-    journal.Append({{"n", n}}, [] { return true; },
-                   [&committed](AppendResult result) {
-                     if (result == AppendResult::kCommitted) ++committed;
-                   });
+    journal.Append(
+        {{"n", n}}, [] { return true; },
+        [&committed](AppendResult result) {
+          if (result == AppendResult::kCommitted) ++committed;
+        });
     for (int tick = 0; tick < 10; ++tick) {
       bench.Advance(Millis(20));
       journal.OnTick();
@@ -152,7 +153,8 @@
   // A home that reads the journal now goes on after the last number.
   Journal other(context, {.prefix = "t/", .segment_bytes = 60},
                 [](const Json& /*record*/) {});
-  other.Append({{"n", 7}}, [] { return true; }, [](AppendResult) {});
+  other.Append(
+      {{"n", 7}}, [] { return true; }, [](AppendResult) {});
   for (int tick = 0; tick < 10; ++tick) {
     bench.Advance(Millis(20));
     other.OnTick();
@@ -181,6 +183,7 @@
   PlaceLedger ledger({.team = "t", .term = 1, .basis = limit});
   ledger.SetLimit(limit);
   std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(holders));
   std::vector<int> held(static_cast<std::size_t>(holders), 0);
   for (int n = 0; n < holders; ++n) {
     names.push_back("h" + std::to_string(n) + "#1");
