A span for each hop to a home

The slot, look-up and claim hops of a request now have spans of their own beside the request and its dispatch; program.LogTest looks for them (it failed to find "slot" before).

--- a/include/basilusher/Control/FrontDoor.h
+++ b/include/basilusher/Control/FrontDoor.h
@@ -13,6 +13,7 @@
 #include "basilusher/Control/PlaceHolder.h"
 #include "basilusher/Control/RetryBudget.h"
 #include "basilusher/Model/Outcome.h"
+#include "basilusher/Support/Trace.h"
 
 namespace basilusher {
 
@@ -30,6 +31,8 @@
   /// A request with this team set comes from the entry's own task home, which
   /// has checked the key when the task was accepted.
   std::string trusted_team;
+  /// Span of the request at this entry; empty ids for no trace.
+  TraceContext trace;
 };
 
 /// An order to send a request's bytes to a worker.
@@ -128,6 +131,8 @@
     TimePoint sent_at{};
     TimePoint resume_at{};
     std::string asked_home;
+    /// Wall clock when the present question to a home was first asked.
+    std::int64_t asked_micros = 0;
     bool place_taken = false;
     /// Whether an attempt's answer was lost, so that "not run" is out.
     bool maybe_ran = false;
@@ -157,6 +162,7 @@
   std::optional<Answer> Admit(const Submission& submission, Request* request);
   std::optional<Answer> CheckAuthority(const Request& request) const;
   void Advance(Request* request, Step step);
+  void LogHop(const Request& request, const std::string& name) const;
   void AskLookup(Request* request);
   void WaitForPlace(Request* request);
   void ServeWaiting(const std::string& team);
--- a/lib/Client/TraceTree.cc
+++ b/lib/Client/TraceTree.cc
@@ -48,7 +48,7 @@
              span.at("name").get<std::string>() + " [" +
              span.at("process").get<std::string>() + "] " + times;
     for (const char* name :
-         {"request", "queue", "pool", "attempt", "worker", "outcome"}) {
+         {"request", "queue", "home", "attempt", "worker", "outcome"}) {
       if (span.contains(name)) {
         *text += std::string(" ") + name + "=" + span.at(name).dump();
       }
--- a/lib/Control/FrontDoor.cc
+++ b/lib/Control/FrontDoor.cc
@@ -8,6 +8,7 @@
 #include "basilusher/Control/ClaimHome.h"
 #include "basilusher/Control/SlotHome.h"
 #include "basilusher/Support/Digest.h"
+#include "basilusher/Support/Log.h"
 
 namespace basilusher {
 namespace {
@@ -157,8 +158,21 @@
   TickRequest(&it->second);
 }
 
+void FrontDoor::LogHop(const Request& request, const std::string& name) const {
+  const TraceContext& trace = request.submission.trace;
+  if (trace.trace_id.empty()) return;
+  LogSpan({.context = ChildOf(trace, context_.random),
+           .parent_id = trace.span_id,
+           .name = name,
+           .start_micros = request.asked_micros,
+           .end_micros = WallMicros(),
+           .attributes = {{"request", request.submission.request_id},
+                          {"home", request.asked_home}}});
+}
+
 void FrontDoor::Advance(Request* request, Step step) {
   request->step = step;
+  request->asked_micros = WallMicros();
   request->step_since = context_.clock->Now();
 }
 
@@ -258,6 +272,7 @@
     return;
   }
   Request* request = &it->second;
+  LogHop(*request, "slot");
   request->worker = grant.worker;
   request->slot_home = request->asked_home;
   if (request->once && !request->claimed) {
@@ -284,8 +299,10 @@
   if (it == requests_.end()) return;
   Request* request = &it->second;
   if (request->step == Step::kLookup && !reply.commit) {
+    LogHop(*request, "look-up");
     OnLookedUp(request, reply);
   } else if (request->step == Step::kClaim && reply.commit) {
+    LogHop(*request, "claim");
     OnClaimed(request, reply);
   }
 }
--- a/lib/Daemon/HttpFrontend.cc
+++ b/lib/Daemon/HttpFrontend.cc
@@ -252,7 +252,8 @@
         .idempotency_key = request.get_header_value("Idempotency-Key"),
         .body_digest = DigestOf(request.body),
         .body_bytes = request.body.size(),
-        .deadline = DeadlineOf(request)};
+        .deadline = DeadlineOf(request),
+        .trace = trace};
     const std::shared_ptr<Exchange> exchange = services_->requests->Open(id);
     services_->directory.Run(
         ComponentKind::kFrontDoor, [submission](Component* component) {
--- a/test/process_faults_test.py
+++ b/test/process_faults_test.py
@@ -185,6 +185,7 @@
                 self.assertNotIn(secret, text)
         tree = self.deployment.ctl("trace", *logs, "--id", trace).stdout
         self.assertIn(b"request", tree)
+        self.assertIn(b"  slot", tree)
         self.assertIn(b"  dispatch", tree)
         explained = self.deployment.ctl("explain", "returns-docks").stdout
         self.assertIn(b"upper limit 120", explained)
