Work ceilings out for all listed entries, not for those heard so far

Cause: the entry that starts first had heard nobody when it recorded its own ceiling for a team, and recorded the whole limit; stopped within the next second, it counted in full (120 of 120 out) and the others could run nothing of that team. Ruled out: the take-over itself (it came, term 2) and slots. The count is now the larger of the entries listed and leased.

--- a/include/basilusher/Control/PlaceLedger.h
+++ b/include/basilusher/Control/PlaceLedger.h
@@ -64,9 +64,10 @@
   void Remove(const std::string& holder);
   /// Places that count as out.
   int Out() const;
-  /// Ceilings that should be recorded for `holders` live entries; differs from
-  /// the record if a write is due.
-  PlaceRecord WantedRecord(const std::vector<std::string>& holders) const;
+  /// Ceilings that should be recorded for the live entries `holders` of
+  /// `expected` in all; differs from the record if a write is due.
+  PlaceRecord WantedRecord(const std::vector<std::string>& holders,
+                           int expected = 0) const;
 
  private:
   struct Holder {
--- a/lib/Control/PlaceHome.cc
+++ b/lib/Control/PlaceHome.cc
@@ -165,7 +165,11 @@
   for (const std::pair<const std::string, EntryInfo>& row : view->entries) {
     holders.push_back(ToString({row.first, row.second.incarnation}));
   }
-  const PlaceRecord wanted = state->ledger->WantedRecord(holders);
+  // An entry that starts first has heard nobody yet; a ceiling worked out for
+  // it alone would be the whole limit, which it would hold if it fell silent.
+  const int expected = static_cast<int>(
+      std::max(view->listed_entries.size(), view->leased.size()));
+  const PlaceRecord wanted = state->ledger->WantedRecord(holders, expected);
   const PlaceRecord& record = state->ledger->Record();
   if (wanted.ceilings == record.ceilings && wanted.basis == record.basis) {
     return;
--- a/lib/Control/PlaceLedger.cc
+++ b/lib/Control/PlaceLedger.cc
@@ -181,10 +181,10 @@
   record_.ceilings.erase(holder);
 }
 
-PlaceRecord PlaceLedger::WantedRecord(
-    const std::vector<std::string>& holders) const {
+PlaceRecord PlaceLedger::WantedRecord(const std::vector<std::string>& holders,
+                                      int expected) const {
   PlaceRecord wanted = record_;
-  const int count = std::max<int>(1, static_cast<int>(holders.size()));
+  const int count = std::max({1, expected, static_cast<int>(holders.size())});
   const int ceiling = std::min(limit_, (2 * limit_ + count - 1) / count);
   const bool settled = AllCountUnderLimit();
   if (settled) {
