--- /dev/null
+++ b/include/basilusher/Jobs/Ports.h
@@ -0,0 +1,238 @@
+// What the owner of the fleet's work needs from the world outside, as abstract
+// interfaces: workers, instances and advice. Times on a worker's clock carry
+// "worker" in their names and are never compared with local ones.
+#ifndef BASILUSHER_JOBS_PORTS_H_
+#define BASILUSHER_JOBS_PORTS_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "basilusher/Jobs/Job.h"
+#include "basilusher/Support/Clock.h"
+#include "basilusher/Support/EnumTable.h"
+
+namespace basilusher {
+
+/// A worker's entry in the platform's directory.
+struct WorkerEntry {
+  std::string id;
+  std::string pool;
+  std::string address;
+  std::string data_centre;
+  Resources room;
+  std::vector<std::string> labels;
+  /// Failure domain; empty if not known.
+  std::string rack;
+  /// True once a planned shutdown was announced.
+  bool draining = false;
+  /// Time left before a draining worker leaves; zero if not known.
+  std::int64_t remaining_ms = 0;
+  /// Start of this life of the worker, Unix milliseconds; zero if not known.
+  std::int64_t born_unix_ms = 0;
+};
+
+/// Which life of which worker a call is for.
+struct WorkerAddress {
+  std::string id;
+  std::string address;
+};
+
+struct StartOrder {
+  TaskId task;
+  std::int64_t run = 0;
+  std::string payload;
+  std::string checkpoint;
+  std::string ticket;
+  std::int64_t fence = 0;
+  /// End of the lease on the worker's clock.
+  std::int64_t lease_worker_ms = 0;
+};
+
+/// How a worker answered an order.
+enum class OrderResult {
+  kDone,
+  /// A higher fencing token has been seen.
+  kFenced,
+  /// A run at least as high has been stopped or has ended there.
+  kSuperseded,
+  /// The lease offered has already ended on the worker's clock.
+  kLate,
+  kNoRoom,
+  kNoTicket,
+  /// The worker is unhealthy and did nothing.
+  kUnhealthy,
+  /// Another life of the worker, or another service, answered.
+  kOtherWorker,
+  /// The order was malformed in the worker's eyes.
+  kMalformed,
+  /// Nothing was sent.
+  kNotSent,
+  /// No answer: it may be carried out, now or later.
+  kUnknown,
+};
+
+inline constexpr EnumTable<OrderResult, 11> kOrderResultNames = {{
+    {OrderResult::kDone, "done"},
+    {OrderResult::kFenced, "fenced"},
+    {OrderResult::kSuperseded, "superseded"},
+    {OrderResult::kLate, "late"},
+    {OrderResult::kNoRoom, "no-room"},
+    {OrderResult::kNoTicket, "no-ticket"},
+    {OrderResult::kUnhealthy, "unhealthy"},
+    {OrderResult::kOtherWorker, "other-worker"},
+    {OrderResult::kMalformed, "malformed"},
+    {OrderResult::kNotSent, "not-sent"},
+    {OrderResult::kUnknown, "unknown"},
+}};
+
+/// How a run ended.
+enum class EndKind { kDone, kFailed, kStopped, kLapsed, kBroken, kAlone };
+
+inline constexpr EnumTable<EndKind, 6> kEndKindNames = {{
+    {EndKind::kDone, "done"},
+    {EndKind::kFailed, "failed"},
+    {EndKind::kStopped, "stopped"},
+    {EndKind::kLapsed, "lapsed"},
+    {EndKind::kBroken, "broken"},
+    {EndKind::kAlone, "alone"},
+}};
+
+struct RunningTask {
+  TaskId task;
+  std::int64_t run = 0;
+  std::string checkpoint;
+  /// Share of its speed at which the task works; 100 when it is at work.
+  int percent = 0;
+  /// Of a task that serves users, the tail of its response times in
+  /// milliseconds; of others, the processor use in thousandths of a core.
+  std::int64_t load_figure = 0;
+};
+
+struct EndedTask {
+  /// Position in this life's list of ends, from 1.
+  std::int64_t number = 0;
+  TaskId task;
+  std::int64_t run = 0;
+  EndKind kind = EndKind::kStopped;
+  std::string checkpoint;
+};
+
+struct HoldOrder {
+  std::int64_t fence = 0;
+  /// Ends up to this number are durable and may be forgotten.
+  std::int64_t seen_up_to = 0;
+  /// New end of the lease of all that runs there; zero renews nothing.
+  std::int64_t lease_worker_ms = 0;
+  /// How long the worker may wait for an end before it answers.
+  Millis wait{0};
+};
+
+struct HoldAnswer {
+  OrderResult result = OrderResult::kUnknown;
+  std::int64_t worker_clock_ms = 0;
+  std::int64_t born_unix_ms = 0;
+  std::vector<RunningTask> running;
+  std::vector<EndedTask> ended;
+};
+
+/// Orders to workers. Each callback runs once. Not thread-safe: I/O thread.
+class WorkerGateway {
+ public:
+  virtual ~WorkerGateway() = default;
+  virtual void Start(const WorkerAddress& worker, const StartOrder& order,
+                     std::function<void(OrderResult)> done) = 0;
+  virtual void Stop(const WorkerAddress& worker, const TaskId& task,
+                    std::int64_t run, std::int64_t fence,
+                    std::function<void(OrderResult)> done) = 0;
+  virtual void Hold(const WorkerAddress& worker, const HoldOrder& order,
+                    std::function<void(const HoldAnswer&)> done) = 0;
+  virtual void Pace(const WorkerAddress& worker, const TaskId& task,
+                    std::int64_t run, int percent, std::int64_t fence,
+                    std::function<void(OrderResult)> done) = 0;
+};
+
+enum class InstanceState { kUp, kMoving, kMaintenance, kDown };
+
+inline constexpr EnumTable<InstanceState, 4> kInstanceStateNames = {{
+    {InstanceState::kUp, "up"},
+    {InstanceState::kMoving, "moving"},
+    {InstanceState::kMaintenance, "maintenance"},
+    {InstanceState::kDown, "down"},
+}};
+
+struct Instance {
+  std::string id;
+  std::string pool;
+  InstanceState state = InstanceState::kDown;
+  std::string data_centre;
+  std::vector<std::string> labels;
+  /// Failure domain; empty if not known.
+  std::string rack;
+  Resources room;
+  /// Worker that lives on it; empty if none.
+  std::string worker;
+};
+
+struct InstanceList {
+  bool complete = false;
+  std::vector<Instance> instances;
+};
+
+enum class InstanceResult {
+  kDone,
+  kFenced,
+  /// The instance is not up, or is leaving.
+  kBusy,
+  kNotInWave,
+  kMalformed,
+  kRefused,
+  kUnknown,
+};
+
+inline constexpr EnumTable<InstanceResult, 7> kInstanceResultNames = {{
+    {InstanceResult::kDone, "done"},
+    {InstanceResult::kFenced, "fenced"},
+    {InstanceResult::kBusy, "busy"},
+    {InstanceResult::kNotInWave, "not-in-wave"},
+    {InstanceResult::kMalformed, "malformed"},
+    {InstanceResult::kRefused, "refused"},
+    {InstanceResult::kUnknown, "unknown"},
+}};
+
+/// The platform's instances. Not thread-safe: I/O thread.
+class InstanceProvider {
+ public:
+  virtual ~InstanceProvider() = default;
+  virtual void List(std::function<void(const InstanceList&)> done) = 0;
+  /// Puts an instance into another pool; all that runs on it ends at once.
+  virtual void Move(const std::string& instance, const std::string& pool,
+                    std::int64_t fence,
+                    std::function<void(InstanceResult)> done) = 0;
+  /// Takes an instance down for its maintenance in `wave`.
+  virtual void Maintain(const std::string& instance, std::int64_t wave,
+                        std::int64_t fence,
+                        std::function<void(InstanceResult)> done) = 0;
+};
+
+struct AdviceAnswer {
+  bool answered = false;
+  std::int64_t valid_ms = 0;
+  /// Worker ids that may run the step, each with its ticket.
+  std::vector<std::pair<std::string, std::string>> allowed;
+};
+
+/// Tells which workers may run a step. Not thread-safe: I/O thread.
+class PlacementAdvisor {
+ public:
+  virtual ~PlacementAdvisor() = default;
+  virtual void Advise(const std::string& job, int occurrence, int step,
+                      const std::vector<std::string>& workers,
+                      Millis timeout,
+                      std::function<void(const AdviceAnswer&)> done) = 0;
+};
+
+}  // namespace basilusher
+
+#endif  // BASILUSHER_JOBS_PORTS_H_
--- /dev/null
+++ b/include/basilusher/Net/HttpClient.h
@@ -0,0 +1,72 @@
+// Event-driven HTTP/1.1 client with a bounded connection pool per address.
+#ifndef BASILUSHER_NET_HTTPCLIENT_H_
+#define BASILUSHER_NET_HTTPCLIENT_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "basilusher/Net/HttpServer.h"
+#include "basilusher/Net/IoLoop.h"
+
+namespace basilusher {
+
+/// What is known about a call that has ended.
+enum class CallOutcome {
+  /// A whole answer came.
+  kAnswered,
+  /// No byte of the call was sent.
+  kNotSent,
+  /// Sent at least in part and not answered: it may have taken effect.
+  kLost,
+};
+
+struct HttpCall {
+  std::string method;
+  std::string target;
+  std::vector<HttpHeader> headers;
+  std::string body;
+  /// From the call until its whole answer, connecting included.
+  Millis timeout{1000};
+};
+
+struct HttpAnswer {
+  CallOutcome outcome = CallOutcome::kNotSent;
+  int status = 0;
+  std::string body;
+};
+
+using HttpCallback = std::function<void(const HttpAnswer&)>;
+
+struct HttpClientOptions {
+  /// Calls beyond this number wait for a connection.
+  std::size_t max_connections_per_address = 8;
+  std::size_t max_body_bytes = 8 * 1024 * 1024;
+  Millis idle_timeout{12000};
+};
+
+/// Not thread-safe: I/O thread only.
+class HttpClient {
+ public:
+  HttpClient(IoLoop* loop, HttpClientOptions options);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /// Calls `address` ("10.0.0.1:80"); `done` runs once, later. A connection
+  /// whose call timed out is closed, with all idle ones to its address, since
+  /// they may have gone silent together.
+  void Call(const std::string& address, HttpCall call, HttpCallback done);
+  /// Closes idle connections to `address`.
+  void Forget(const std::string& address);
+
+ private:
+  struct Shared;
+  class Connection;
+  std::shared_ptr<Shared> shared_;
+};
+
+}  // namespace basilusher
+
+#endif  // BASILUSHER_NET_HTTPCLIENT_H_
--- /dev/null
+++ b/include/basilusher/Net/HttpServer.h
@@ -0,0 +1,84 @@
+// Event-driven HTTP/1.1 server on one I/O thread.
+#ifndef BASILUSHER_NET_HTTPSERVER_H_
+#define BASILUSHER_NET_HTTPSERVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "basilusher/Net/IoLoop.h"
+#include "basilusher/Support/Clock.h"
+
+namespace basilusher {
+
+using HttpHeader = std::pair<std::string, std::string>;
+
+/// One request that was read whole.
+struct HttpRequest {
+  std::string method;
+  std::string target;
+  std::vector<HttpHeader> headers;
+  std::string body;
+
+  /// Value of the header `name`, compared without case; empty if absent.
+  std::string_view Header(std::string_view name) const;
+};
+
+struct HttpResponse {
+  int status = 200;
+  std::string body;
+  /// Seconds until the caller should come back; zero sends no header.
+  int retry_after_s = 0;
+};
+
+/// Sends the answer of one request. Call it once, from the I/O thread; a caller
+/// that has gone away is ignored.
+using HttpResponder = std::function<void(HttpResponse)>;
+using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
+
+struct HttpServerOptions {
+  /// IPv4 address and port, as "10.0.0.1:80".
+  std::string address;
+  std::size_t max_header_bytes = 16 * 1024;
+  std::size_t max_body_bytes = 256 * 1024;
+  /// Time to receive a request once its first byte has come, and to send an
+  /// answer to a reader that is slow.
+  Millis read_timeout{3000};
+  /// Time that a connection may rest between requests.
+  Millis idle_timeout{15000};
+  std::size_t max_connections = 1500;
+};
+
+/// Serves one address. Not thread-safe: all calls from the I/O thread.
+class HttpServer {
+ public:
+  /// Binds and listens; throws Error(kTransportFailed) if the address is taken.
+  /// `handler` runs on the I/O thread.
+  HttpServer(IoLoop* loop, HttpServerOptions options, HttpHandler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /// Changes limits for requests that have not begun yet.
+  void SetLimits(std::size_t max_header_bytes, std::size_t max_body_bytes,
+                 Millis read_timeout, Millis idle_timeout);
+  /// From now on each answer closes its connection.
+  void BeginDrain();
+  /// Stops accepting connections and closes those with no request in progress.
+  void StopAccepting();
+  /// Requests read whole and not answered yet.
+  std::size_t InProgress() const;
+
+ private:
+  struct Shared;
+  class Session;
+  std::shared_ptr<Shared> shared_;
+};
+
+}  // namespace basilusher
+
+#endif  // BASILUSHER_NET_HTTPSERVER_H_
--- /dev/null
+++ b/include/basilusher/Node/JobFront.h
@@ -0,0 +1,92 @@
+// What submitters can do, on any node: hand in, follow and cancel jobs.
+#ifndef BASILUSHER_NODE_JOBFRONT_H_
+#define BASILUSHER_NODE_JOBFRONT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "basilusher/Node/CatalogKeeper.h"
+#include "basilusher/Node/NodeAgent.h"
+#include "basilusher/Node/Peers.h"
+
+namespace basilusher {
+
+enum class SubmitResult {
+  /// Stored: the job will run.
+  kAccepted,
+  /// Not stored and never will be: it has not run and will not run.
+  kRefused,
+  /// May or may not be stored.
+  kUnknown,
+};
+
+inline constexpr EnumTable<SubmitResult, 3> kSubmitResultNames = {{
+    {SubmitResult::kAccepted, "accepted"},
+    {SubmitResult::kRefused, "refused"},
+    {SubmitResult::kUnknown, "unknown"},
+}};
+
+enum class FindResult { kFound, kAbsent, kUnavailable };
+
+struct FindAnswer {
+  FindResult result = FindResult::kUnavailable;
+  ShownJob job;
+};
+
+enum class CancelResult { kDone, kAbsent, kUnavailable };
+
+struct JobFrontPorts {
+  TransactionalStore* store = nullptr;
+  TimerService* timers = nullptr;
+  const Clock* clock = nullptr;
+  PeerClient* peers = nullptr;
+};
+
+/// Each callback runs once. Not thread-safe: I/O thread only.
+class JobFront : public std::enable_shared_from_this<JobFront> {
+ public:
+  JobFront(JobFrontPorts ports, RecordKeys keys,
+           std::shared_ptr<NodeAgent> agent,
+           std::shared_ptr<CatalogKeeper> catalogs);
+
+  /// Stores the job under its id, once. Repeats until `deadline` while the
+  /// outcome is not known.
+  void Submit(const JobSpec& job, TimePoint deadline,
+              std::function<void(SubmitResult)> done);
+  void Find(const std::string& job, TimePoint deadline,
+            std::function<void(FindAnswer)> done);
+  void Cancel(const std::string& job, TimePoint deadline,
+              std::function<void(CancelResult)> done);
+  /// Accepted jobs of `queue` of which no task has started; nothing if the
+  /// owner cannot be asked.
+  void Pending(const std::string& queue,
+               std::function<void(std::optional<int>)> done);
+
+  /// Answers peers' calls of the same purpose.
+  void Serve(PeerServer* server);
+
+ private:
+  struct Submission;
+  void TrySubmit(const std::shared_ptr<Submission>& submission);
+  void SubmitThroughPeer(const std::shared_ptr<Submission>& submission);
+  void FindInStore(const std::string& job, TimePoint deadline,
+                   std::function<void(FindAnswer)> done);
+  void FindThroughPeer(const std::string& job,
+                       std::function<void(FindAnswer)> done);
+  void CancelInStore(const std::string& job, TimePoint deadline,
+                     std::function<void(CancelResult)> done);
+  /// A peer that may reach the store; empty if none is known.
+  std::string AnyPeer() const;
+
+  JobFrontPorts ports_;
+  RecordKeys keys_;
+  std::shared_ptr<NodeAgent> agent_;
+  std::shared_ptr<CatalogKeeper> catalogs_;
+};
+
+}  // namespace basilusher
+
+#endif  // BASILUSHER_NODE_JOBFRONT_H_
--- /dev/null
+++ b/include/basilusher/Node/NodeAgent.h
@@ -0,0 +1,101 @@
+// One node's part in the system: its lease and registration, the election of
+// the owner, and the owner itself while this node holds the term.
+#ifndef BASILUSHER_NODE_NODEAGENT_H_
+#define BASILUSHER_NODE_NODEAGENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "basilusher/Node/Peers.h"
+#include "basilusher/Partition/PartitionOwner.h"
+#include "basilusher/Store/StoreWatcher.h"
+
+namespace basilusher {
+
+struct NodeOptions {
+  std::string node;
+  /// Distinguishes this life of the node's process from earlier ones.
+  std::string incarnation;
+  /// Address of its peer server.
+  std::string peer_address;
+  /// Share of a core times its speed; stronger nodes stand for election first.
+  double strength = 1.0;
+  OwnerOptions owner;
+};
+
+/// Who holds the term, as last heard.
+struct OwnerView {
+  std::string node;
+  std::string address;
+  std::string incarnation;
+  std::int64_t term = 0;
+  std::int64_t revision = 0;
+};
+
+/// Not thread-safe: I/O thread only.
+class NodeAgent : public std::enable_shared_from_this<NodeAgent> {
+ public:
+  using CatalogSource = std::function<std::shared_ptr<const Catalog>()>;
+
+  NodeAgent(OwnerPorts ports, PeerClient* peers, NodeOptions options,
+            CatalogSource catalog);
+
+  void Begin();
+  /// Gives up the term, if held, once its records are stored; then ends the
+  /// lease and runs `done`.
+  void Stop(std::function<void()> done);
+  /// Ends the term that a peer says is over; true if none is held after it.
+  bool EndTermBelow(std::int64_t term);
+
+  /// The owner while this node holds the term and has loaded its records.
+  PartitionOwner* LocalOwner();
+  /// The owner's node as last heard; null if none is known.
+  const OwnerView* RemoteOwner() const;
+  void OnCatalog(const std::shared_ptr<const Catalog>& catalog);
+  void OnWave(const MaintenanceWave& wave);
+  /// Peer addresses by node, without this one.
+  const std::map<std::string, std::string>& Peers() const { return peers_; }
+  /// Time since which the control records may have changed unheard.
+  TimePoint FreshAt() const { return watcher_->FreshAt(); }
+
+ private:
+  void GrantLease();
+  void KeepLease();
+  void LoseLease(const char* reason);
+  void Register();
+  void OnControl(const StoredItem& item);
+  void ConsiderElection();
+  void StandForElection();
+  void OnElected(std::int64_t term, std::int64_t revision);
+  void Depose(const char* reason);
+  void AskEarlierOwner(const OwnerView& earlier);
+  void FinishStop();
+
+  OwnerPorts ports_;
+  PeerClient* peer_client_;
+  NodeOptions options_;
+  CatalogSource catalog_;
+  std::shared_ptr<StoreWatcher> watcher_;
+  std::shared_ptr<PartitionOwner> owner_;
+  OwnerView owner_view_;
+  /// Who held the term before the present one.
+  OwnerView earlier_owner_;
+  std::map<std::string, std::string> peers_;
+  std::map<std::int64_t, MaintenanceWave> waves_;
+  std::int64_t term_ = 0;
+  std::int64_t term_key_revision_ = 0;
+  std::int64_t lease_ = 0;
+  TimePoint confirmed_until_{};
+  bool standing_ = false;
+  bool election_planned_ = false;
+  bool stopping_ = false;
+  std::function<void()> on_stopped_;
+  TimePoint stop_began_{};
+};
+
+}  // namespace basilusher
+
+#endif  // BASILUSHER_NODE_NODEAGENT_H_
--- /dev/null
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -0,0 +1,235 @@
+// Owner of the fleet's work during one term: places tasks on workers, keeps
+// their leases, records their ends and takes over what an earlier owner left.
+#ifndef BASILUSHER_PARTITION_PARTITIONOWNER_H_
+#define BASILUSHER_PARTITION_PARTITIONOWNER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "basilusher/Jobs/Catalog.h"
+#include "basilusher/Jobs/JobTable.h"
+#include "basilusher/Jobs/Ports.h"
+#include "basilusher/Net/IoLoop.h"
+#include "basilusher/Partition/Recorder.h"
+#include "basilusher/Partition/WorkerLink.h"
+#include "basilusher/Schedule/Placement.h"
+#include "basilusher/Schedule/Urgency.h"
+#include "basilusher/Store/StoreWatcher.h"
+#include "basilusher/Store/TransactionalStore.h"
+
+namespace basilusher {
+
+/// Keys of the system's own records in the store.
+struct RecordKeys {
+  /// What every node follows: terms, the owner and the nodes.
+  std::string control_prefix = "b/c/";
+  std::string term = "b/c/term";
+  std::string owner = "b/c/owner";
+  std::string node_prefix = "b/c/node/";
+  /// Workers on which tasks may run, with their addresses.
+  std::string workers = "b/workers";
+  /// What fronts hand in: jobs and cancellations.
+  std::string inbox_prefix = "b/in/";
+  std::string job_prefix = "b/in/job/";
+  std::string cancel_prefix = "b/in/cancel/";
+  std::string progress_prefix = "b/progress/";
+  std::string final_prefix = "b/final/";
+};
+
+/// Names and formats of the platform's directory, which only the adapter knows.
+class DirectoryFormats {
+ public:
+  virtual ~DirectoryFormats() = default;
+  virtual std::string ConfigKey() const = 0;
+  virtual std::string OperatorPrefix() const = 0;
+  virtual std::string WorkerPrefix() const = 0;
+  virtual std::string WaveStatusKey(std::int64_t wave) const = 0;
+  /// Throws Error(kIntentInvalid) for what is no configuration.
+  virtual std::shared_ptr<const Catalog> DecodeCatalog(
+      const std::string& bytes) const = 0;
+  /// Nothing for an entry that names no worker to use.
+  virtual std::optional<WorkerEntry> DecodeWorker(
+      const std::string& key, const std::string& bytes) const = 0;
+  /// Nothing for a key that holds no wave.
+  virtual std::optional<MaintenanceWave> DecodeWave(
+      const std::string& key, const std::string& bytes) const = 0;
+  virtual std::string EncodeWaveStatus(bool finished) const = 0;
+};
+
+struct OwnerPorts {
+  TransactionalStore* store = nullptr;
+  WorkerGateway* workers = nullptr;
+  InstanceProvider* instances = nullptr;
+  PlacementAdvisor* advisor = nullptr;
+  TimerService* timers = nullptr;
+  const Clock* clock = nullptr;
+  const DirectoryFormats* formats = nullptr;
+};
+
+struct OwnerOptions {
+  std::string node;
+  std::int64_t term = 0;
+  /// Revision of the key that stands while the term lasts.
+  std::int64_t term_revision = 0;
+  RecordKeys keys;
+  /// Lease of what runs on a worker.
+  Millis task_lease{5000};
+  /// Final states are shown for at least this long.
+  Millis final_retention{150000};
+  /// An owner that cannot confirm its term goes on for this long at most.
+  Millis max_unconfirmed{8000};
+  /// Time that an earlier owner may go on after this term's begin.
+  Millis earlier_owner{8000};
+  /// A stop may take this long at a worker.
+  Millis stop_timeout{400};
+};
+
+struct ShownJob {
+  JobState state = JobState::kQueued;
+  std::string queue;
+};
+
+/// Not thread-safe: I/O thread only.
+class PartitionOwner : public std::enable_shared_from_this<PartitionOwner> {
+ public:
+  struct Listener {
+    std::function<void()> on_deposed;
+    /// Time until which the term is known to last.
+    std::function<TimePoint()> confirmed_until;
+  };
+
+  PartitionOwner(OwnerPorts ports, OwnerOptions options, Listener listener);
+  ~PartitionOwner();
+  PartitionOwner(const PartitionOwner&) = delete;
+  PartitionOwner& operator=(const PartitionOwner&) = delete;
+
+  /// Loads the records and reads the workers, then serves.
+  void Begin(std::shared_ptr<const Catalog> catalog);
+  /// No order is sent and no callback runs after this.
+  void Close();
+  void SetCatalog(std::shared_ptr<const Catalog> catalog);
+  void SetWave(const MaintenanceWave& wave);
+  /// The earlier owner has said that its term is over.
+  void NoteEarlierOwnerStopped();
+
+  /// The records are loaded: answers about jobs are complete.
+  bool Loaded() const { return loaded_; }
+  /// State of a job; nothing if it is not known. Precondition: Loaded().
+  std::optional<ShownJob> Find(const std::string& job) const;
+  /// Accepted jobs of `queue` of which no task has started. Precondition:
+  /// Loaded().
+  int Pending(const std::string& queue) const;
+  std::int64_t Term() const { return options_.term; }
+  /// True once nothing waits to be stored.
+  bool RecordsIdle() const { return recorder_->Idle(); }
+
+ private:
+  struct WorkerState {
+    WorkerEntry entry;
+    bool listed = false;
+    /// The store knows that tasks may run there.
+    bool recorded = false;
+    /// Being emptied for a move or maintenance.
+    bool reserved = false;
+    WorkerSlot slot;
+    std::shared_ptr<WorkerLink> link;
+    std::set<TaskId> tasks;
+    /// Runs listed there that are not this owner's, and when each was told to
+    /// stop.
+    std::map<std::pair<TaskId, std::int64_t>, TimePoint> strangers;
+    int strangers_listed = 0;
+  };
+  struct FinalRecord {
+    ShownJob shown;
+    TimePoint stored_at{};
+  };
+
+  // OwnerRecords.cc: loading, submissions, cancellations, final states.
+  void LoadProgress();
+  void LoadFinals();
+  void LoadWorkers();
+  void OnInbox(const StoredItem& item);
+  void OnLoaded();
+  void AddJob(const std::string& id, const StoredItem& item);
+  void CancelJob(const std::string& id);
+  void EndJob(JobRecord* job);
+  void DropIfFinished(const std::string& id);
+  JobImage ImageOf(const std::string& job) const;
+  void ForgetOldFinals();
+  void SaveWorkers();
+
+  // OwnerWorkers.cc: the directory, lists, ends.
+  void OnDirectory(const StoredItem& item);
+  WorkerState* AddWorker(const std::string& id, const std::string& address);
+  void DropWorker(const std::string& id);
+  void OnLists(const std::string& id, const HoldAnswer& answer,
+               TimePoint sent_at, bool settled);
+  void OnRunning(WorkerState* worker, const RunningTask& running);
+  void StopStranger(WorkerState* worker, const TaskId& task, std::int64_t run);
+  void OnEnded(WorkerState* worker, const EndedTask& end,
+               std::set<std::string>* changed);
+  void ReleaseGang(JobRecord* job, const TaskId& id);
+  void FindVanished(WorkerState* worker, const HoldAnswer& answer,
+                    TimePoint sent_at, bool settled);
+  void OnWorkerLost(const std::string& id, const char* reason);
+  void Release(WorkerState* worker, JobRecord* job, const TaskId& id);
+  void Reserve(WorkerState* worker, JobRecord* job, const TaskId& id);
+  void ReturnToQueue(JobRecord* job, const TaskId& id);
+  void StopTask(JobRecord* job, const TaskId& id, TaskRecord* task);
+
+  // OwnerDispatch.cc: placing work.
+  void ScheduleDispatch();
+  void Dispatch();
+  bool MayStart() const;
+  bool Usable(const WorkerState& worker) const;
+  void PlaceStep(JobRecord* job, int occurrence, int step,
+                 const std::vector<WorkerSlot*>& slots);
+  void PlaceGang(JobRecord* job, int occurrence, int step,
+                 const std::vector<WorkerSlot*>& slots);
+  bool WithinCap(const JobRecord& job, const Resources& need) const;
+  void StartTask(JobRecord* job, const TaskId& id, WorkerState* worker,
+                 std::int64_t run);
+  void OnStartResult(const TaskId& id, std::int64_t run,
+                     const std::string& worker, OrderResult result);
+  std::int64_t NextRun(const TaskRecord& task) const;
+  void Tick();
+
+  const QueueConfig* QueueOf(const JobRecord& job) const;
+  WorkerState* FindWorker(const std::string& id);
+
+  OwnerPorts ports_;
+  OwnerOptions options_;
+  Listener listener_;
+  std::shared_ptr<const Catalog> catalog_;
+  std::shared_ptr<Recorder> recorder_;
+  std::shared_ptr<StoreWatcher> inbox_;
+  std::shared_ptr<StoreWatcher> directory_;
+  JobTable jobs_;
+  std::map<std::string, FinalRecord> finals_;
+  std::map<std::string, std::unique_ptr<WorkerState>> workers_;
+  std::map<std::string, Resources> workspace_used_;
+  std::map<std::string, DurationEstimate> durations_;
+  std::map<std::string, StoredItem> loaded_progress_;
+  /// Workers that may run tasks of an earlier owner and have not been read.
+  std::set<std::string> unread_workers_;
+  TimePoint began_at_{};
+  TimePoint doubt_until_{};
+  bool progress_loaded_ = false;
+  bool finals_loaded_ = false;
+  bool workers_loaded_ = false;
+  bool loaded_ = false;
+  bool dispatch_planned_ = false;
+  bool saving_workers_ = false;
+  bool workers_changed_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace basilusher
+
+#endif  // BASILUSHER_PARTITION_PARTITIONOWNER_H_
--- /dev/null
+++ b/include/basilusher/Store/StoreWatcher.h
@@ -0,0 +1,69 @@
+// Follows all keys under a prefix of the store.
+#ifndef BASILUSHER_STORE_STOREWATCHER_H_
+#define BASILUSHER_STORE_STOREWATCHER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "basilusher/Net/IoLoop.h"
+#include "basilusher/Store/TransactionalStore.h"
+
+namespace basilusher {
+
+struct StoreWatcherOptions {
+  std::string prefix;
+  /// How long one watch waits; also how soon a quiet prefix is known to be
+  /// quiet.
+  Millis wait{5000};
+};
+
+/// Lists a prefix, then watches it; after lost history it lists again and
+/// reports only what differs. Not thread-safe: I/O thread only.
+class StoreWatcher : public std::enable_shared_from_this<StoreWatcher> {
+ public:
+  struct Listener {
+    /// A key was written or removed (`removed`). May run for an older revision
+    /// only if the store answered so.
+    std::function<void(const StoredItem&)> on_item;
+    /// The first list is complete.
+    std::function<void()> on_loaded;
+  };
+
+  StoreWatcher(TransactionalStore* store, TimerService* timers,
+               const Clock* clock, StoreWatcherOptions options,
+               Listener listener);
+
+  void Begin();
+  /// No callback runs after this.
+  void Close() { closed_ = true; }
+  bool Loaded() const { return loaded_; }
+  /// All changes that the store had acknowledged at this time are known; zero
+  /// before the first list.
+  TimePoint FreshAt() const { return fresh_at_; }
+
+ private:
+  void List();
+  void Watch();
+  void Retry();
+  void Report(const StoredItem& item);
+
+  TransactionalStore* store_;
+  TimerService* timers_;
+  const Clock* clock_;
+  StoreWatcherOptions options_;
+  Listener listener_;
+  std::map<std::string, std::int64_t> revisions_;
+  std::int64_t revision_ = 0;
+  TimePoint fresh_at_{};
+  int failures_ = 0;
+  bool loaded_ = false;
+  bool must_list_ = true;
+  bool closed_ = false;
+};
+
+}  // namespace basilusher
+
+#endif  // BASILUSHER_STORE_STOREWATCHER_H_
--- a/include/basilusher/Support/Clock.h
+++ b/include/basilusher/Support/Clock.h
@@ -28,6 +28,15 @@
   TimePoint Now() const override;
 };
 
+/// The machine's clock since its start, which also counts time in which the
+/// machine was suspended, so that leases held elsewhere are not overestimated
+/// after a resume.
+class BootClock : public Clock {
+ public:
+  /// Thread-safe.
+  TimePoint Now() const override;
+};
+
 /// Microseconds since the Unix epoch, for logs and spans only; no decision is
 /// taken on it. Thread-safe.
 std::int64_t WallMicros();
--- a/include/basilusher/Support/Log.h
+++ b/include/basilusher/Support/Log.h
@@ -3,6 +3,7 @@
 #define BASILUSHER_SUPPORT_LOG_H_
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -22,9 +23,32 @@
   LogLevel level = LogLevel::kInfo;
 };
 
-/// Opens the log. Call once, before the first line and before threads start.
+/// Where lines go.
+class LogSink {
+ public:
+  virtual ~LogSink() = default;
+  /// Takes one line without its newline. Called from any thread.
+  virtual void Write(LogLevel level, const std::string& line) = 0;
+  /// Writes out what is buffered. Called from any thread.
+  virtual void Flush() {}
+};
+
+/// Opens the log on `sink`. Call once, before threads start.
+void OpenLogOn(const std::string& process, LogLevel level,
+               std::unique_ptr<LogSink> sink);
+
+/// Opens the log on log4cplus. Call once, before the first line and before
+/// threads start.
 void OpenLog(const LogOptions& options);
 
+/// Opens the log on standard output, bounded and never blocking: lines beyond
+/// the rate or the pipe's room are counted and left out, informational ones
+/// first. For programs with one thread. Call once.
+void OpenStdoutLog(const std::string& process);
+
+/// Writes out what the sink has buffered. Thread-safe.
+void FlushLog();
+
 /// Closes the log and flushes it. Call once, after threads have ended.
 void CloseLog();
 
--- /dev/null
+++ b/lib/Jobs/JobCodec.cc
@@ -0,0 +1,184 @@
+// Stored form of jobs and of their progress: CBOR of short-keyed objects.
+#include "basilusher/Jobs/JobTable.h"
+#include "basilusher/Support/Json.h"
+
+namespace basilusher {
+namespace {
+
+Json EncodeStep(const StepSpec& step) {
+  Json out = {{"n", step.count}};
+  const auto put = [&out](const char* name, std::int64_t value) {
+    if (value != 0) out[name] = value;
+  };
+  put("c", step.need.cpu_millis);
+  put("m", step.need.memory_mb);
+  put("g", step.need.accelerators);
+  put("e", step.estimate_ms);
+  put("k", step.checkpointable ? 1 : 0);
+  put("ga", step.gang ? 1 : 0);
+  put("sr", step.same_rack ? 1 : 0);
+  put("sp", step.speculative ? 1 : 0);
+  put("la", step.lasting ? 1 : 0);
+  put("fi", step.filler ? 1 : 0);
+  put("mp", step.max_per_worker);
+  put("t", step.target_ms);
+  if (step.max_unavailable) out["mu"] = *step.max_unavailable;
+  if (!step.after.empty()) out["a"] = step.after;
+  if (!step.required_label.empty()) out["rl"] = step.required_label;
+  if (!step.preferred_rack.empty()) out["pr"] = step.preferred_rack;
+  if (!step.image.empty()) out["i"] = step.image;
+  return out;
+}
+
+StepSpec DecodeStep(const Json& in) {
+  StepSpec step;
+  step.count = in.at("n").get<int>();
+  step.need = {.cpu_millis = in.value("c", std::int64_t{0}),
+               .memory_mb = in.value("m", std::int64_t{0}),
+               .accelerators = in.value("g", std::int64_t{0})};
+  step.estimate_ms = in.value("e", std::int64_t{0});
+  step.checkpointable = in.value("k", 0) != 0;
+  step.gang = in.value("ga", 0) != 0;
+  step.same_rack = in.value("sr", 0) != 0;
+  step.speculative = in.value("sp", 0) != 0;
+  step.lasting = in.value("la", 0) != 0;
+  step.filler = in.value("fi", 0) != 0;
+  step.max_per_worker = in.value("mp", 0);
+  step.target_ms = in.value("t", std::int64_t{0});
+  if (in.contains("mu")) step.max_unavailable = in.at("mu").get<int>();
+  step.after = in.value("a", std::vector<int>{});
+  step.required_label = in.value("rl", std::string());
+  step.preferred_rack = in.value("pr", std::string());
+  step.image = in.value("i", std::string());
+  return step;
+}
+
+std::string ToBytes(const Json& document) {
+  std::string out;
+  Json::to_cbor(document, out);
+  return out;
+}
+
+template <typename Decode>
+auto Guarded(const std::string& bytes, Decode decode) {
+  try {
+    return decode(Json::from_cbor(bytes));
+  } catch (const std::exception& error) {
+    throw Error(ResultCode::kStoreConflict,
+                std::string("stored job record is malformed: ") +
+                    error.what());
+  }
+}
+
+Json EncodeOccurrence(const OccurrenceRecord& occurrence) {
+  Json done = Json::array();
+  Json rows = Json::array();
+  for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+    const StepRecord& step = occurrence.steps[s];
+    std::vector<std::uint8_t> bits((step.tasks.size() + 7) / 8);
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+      const TaskRecord& task = step.tasks[i];
+      if (task.state == TaskState::kDone) {
+        bits[i / 8] |= static_cast<std::uint8_t>(1U << (i % 8));
+        continue;
+      }
+      if (task.failures > 0 || !task.checkpoint.empty()) {
+        rows.push_back({s, i, task.failures, task.counted_run,
+                        task.checkpoint});
+      }
+    }
+    done.push_back(Json::binary(std::move(bits)));
+  }
+  return {{"d", std::move(done)}, {"r", std::move(rows)}};
+}
+
+void DecodeOccurrence(const Json& in, OccurrenceRecord* occurrence) {
+  const Json& done = in.at("d");
+  for (std::size_t s = 0; s < occurrence->steps.size() && s < done.size();
+       ++s) {
+    StepRecord& step = occurrence->steps[s];
+    const Json::binary_t& bits = done[s].get_binary();
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+      if (i / 8 >= bits.size() || ((bits[i / 8] >> (i % 8)) & 1U) == 0) {
+        continue;
+      }
+      step.tasks[i].state = TaskState::kDone;
+      ++step.done;
+    }
+    if (step.done == static_cast<int>(step.tasks.size())) {
+      ++occurrence->steps_done;
+    }
+  }
+  for (const Json& row : in.at("r")) {
+    TaskRecord& task = occurrence->steps.at(row.at(0).get<std::size_t>())
+                           .tasks.at(row.at(1).get<std::size_t>());
+    task.failures = row.at(2).get<int>();
+    task.counted_run = row.at(3).get<std::int64_t>();
+    task.checkpoint = row.at(4).get<std::string>();
+  }
+}
+
+}  // namespace
+
+std::string EncodeJobSpec(const JobSpec& spec) {
+  Json steps = Json::array();
+  for (const StepSpec& step : spec.steps) steps.push_back(EncodeStep(step));
+  Json out = {{"q", spec.queue},
+              {"w", spec.workspace},
+              {"p", spec.payload},
+              {"s", std::move(steps)},
+              {"u", spec.accepted_unix_ms}};
+  if (spec.times > 0) {
+    out["x"] = {spec.times, spec.start_at_unix_ms, spec.interval_ms};
+  }
+  return ToBytes(out);
+}
+
+JobSpec DecodeJobSpec(const std::string& bytes) {
+  return Guarded(bytes, [](const Json& in) {
+    JobSpec spec;
+    spec.queue = in.at("q").get<std::string>();
+    spec.workspace = in.at("w").get<std::string>();
+    spec.payload = in.at("p").get<std::string>();
+    spec.accepted_unix_ms = in.at("u").get<std::int64_t>();
+    for (const Json& step : in.at("s")) spec.steps.push_back(DecodeStep(step));
+    if (in.contains("x")) {
+      spec.times = in.at("x").at(0).get<int>();
+      spec.start_at_unix_ms = in.at("x").at(1).get<std::int64_t>();
+      spec.interval_ms = in.at("x").at(2).get<std::int64_t>();
+    }
+    return spec;
+  });
+}
+
+std::string EncodeProgress(const JobRecord& job) {
+  Json open = Json::array();
+  for (const auto& [number, occurrence] : job.occurrences) {
+    open.push_back({number, EncodeOccurrence(occurrence)});
+  }
+  return ToBytes({{"n", job.next_occurrence},
+                  {"f", job.occurrences_done},
+                  {"o", std::move(open)}});
+}
+
+void DecodeProgress(const std::string& bytes, JobRecord* job) {
+  Guarded(bytes, [job](const Json& in) {
+    const int next = in.at("n").get<int>();
+    job->occurrences.clear();
+    job->next_occurrence = next;
+    job->occurrences_done = in.at("f").get<int>();
+    for (const Json& row : in.at("o")) {
+      OccurrenceRecord occurrence;
+      occurrence.steps.resize(job->spec.steps.size());
+      for (std::size_t i = 0; i < job->spec.steps.size(); ++i) {
+        occurrence.steps[i].tasks.resize(
+            static_cast<std::size_t>(job->spec.steps[i].count));
+      }
+      DecodeOccurrence(row.at(1), &occurrence);
+      job->occurrences.emplace(row.at(0).get<int>(), std::move(occurrence));
+    }
+    return 0;
+  });
+}
+
+}  // namespace basilusher
--- /dev/null
+++ b/lib/Jobs/JobTable.cc
@@ -0,0 +1,228 @@
+// Transitions of tasks.
+#include "basilusher/Jobs/JobTable.h"
+
+#include <algorithm>
+
+namespace basilusher {
+namespace {
+
+bool IsActive(TaskState state) {
+  return state == TaskState::kStarting || state == TaskState::kRunning ||
+         state == TaskState::kStopping;
+}
+
+OccurrenceRecord MakeOccurrence(const JobSpec& spec) {
+  OccurrenceRecord occurrence;
+  occurrence.steps.resize(spec.steps.size());
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    occurrence.steps[i].tasks.resize(
+        static_cast<std::size_t>(spec.steps[i].count));
+  }
+  return occurrence;
+}
+
+StepRecord* FindStep(JobRecord* job, const TaskId& id) {
+  const auto it = job->occurrences.find(id.occurrence);
+  if (it == job->occurrences.end()) return nullptr;
+  if (id.step >= static_cast<int>(it->second.steps.size())) return nullptr;
+  StepRecord* step = &it->second.steps[static_cast<std::size_t>(id.step)];
+  if (id.index >= static_cast<int>(step->tasks.size())) return nullptr;
+  return step;
+}
+
+TaskRecord* TaskIn(StepRecord* step, const TaskId& id) {
+  return &step->tasks[static_cast<std::size_t>(id.index)];
+}
+
+void Deactivate(StepRecord* step, const TaskId& id, TaskState state) {
+  TaskRecord* task = TaskIn(step, id);
+  if (IsActive(task->state)) --step->active;
+  task->state = state;
+  task->worker.clear();
+  task->percent = 0;
+  task->pace = 100;
+  if (state == TaskState::kWaiting) {
+    step->first_waiting = std::min(step->first_waiting, id.index);
+  }
+}
+
+/// Marks a task done and closes its step, occurrence and job as they fill up.
+EndEffect MarkDone(JobRecord* job, StepRecord* step, const TaskId& id) {
+  Deactivate(step, id, TaskState::kDone);
+  TaskIn(step, id)->in_doubt = false;
+  ++step->done;
+  if (step->done < static_cast<int>(step->tasks.size())) {
+    return EndEffect::kTaskDone;
+  }
+  OccurrenceRecord& occurrence = job->occurrences.at(id.occurrence);
+  ++occurrence.steps_done;
+  if (occurrence.steps_done < static_cast<int>(occurrence.steps.size())) {
+    return EndEffect::kTaskDone;
+  }
+  job->occurrences.erase(id.occurrence);
+  ++job->occurrences_done;
+  if (job->occurrences_done < std::max(1, job->spec.times)) {
+    return EndEffect::kTaskDone;
+  }
+  job->state = JobState::kSucceeded;
+  return EndEffect::kJobDone;
+}
+
+/// One member's end stands for the whole gang.
+EndEffect MarkGangDone(JobRecord* job, const TaskId& id) {
+  EndEffect effect = EndEffect::kIgnored;
+  TaskId member = id;
+  const int count =
+      job->spec.steps[static_cast<std::size_t>(id.step)].count;
+  for (member.index = 0; member.index < count; ++member.index) {
+    StepRecord* step = FindStep(job, member);
+    if (step == nullptr) break;
+    if (TaskIn(step, member)->state == TaskState::kDone) continue;
+    effect = MarkDone(job, step, member);
+  }
+  return effect;
+}
+
+}  // namespace
+
+JobRecord* JobTable::Add(JobSpec spec, TimePoint accepted_at) {
+  std::unique_ptr<JobRecord>& slot = jobs_[spec.id];
+  if (slot != nullptr) return slot.get();
+  slot = std::make_unique<JobRecord>();
+  slot->spec = std::move(spec);
+  slot->accepted_at = accepted_at;
+  return slot.get();
+}
+
+JobRecord* JobTable::Find(const std::string& id) {
+  const auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+const JobRecord* JobTable::Find(const std::string& id) const {
+  const auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+void JobTable::Erase(const std::string& id) { jobs_.erase(id); }
+
+TaskRecord* JobTable::FindTask(const TaskId& id) {
+  JobRecord* job = Find(id.job);
+  if (job == nullptr) return nullptr;
+  StepRecord* step = FindStep(job, id);
+  return step == nullptr ? nullptr : TaskIn(step, id);
+}
+
+bool OpenDueOccurrences(JobRecord* job, std::int64_t unix_ms) {
+  bool opened = false;
+  if (IsFinal(job->state)) return false;
+  const int times = std::max(1, job->spec.times);
+  while (job->next_occurrence < times) {
+    const std::int64_t due =
+        job->spec.start_at_unix_ms +
+        job->next_occurrence * job->spec.interval_ms;
+    if (job->spec.times > 0 && due > unix_ms) break;
+    job->occurrences.emplace(job->next_occurrence, MakeOccurrence(job->spec));
+    ++job->next_occurrence;
+    opened = true;
+  }
+  return opened;
+}
+
+bool StepReady(const JobRecord& job, const OccurrenceRecord& occurrence,
+               int step) {
+  const StepSpec& spec = job.spec.steps[static_cast<std::size_t>(step)];
+  return std::all_of(spec.after.begin(), spec.after.end(), [&](int earlier) {
+    const StepRecord& record =
+        occurrence.steps[static_cast<std::size_t>(earlier)];
+    return record.done == static_cast<int>(record.tasks.size());
+  });
+}
+
+void BeginStart(JobRecord* job, const TaskId& id, const std::string& worker,
+                std::int64_t run, TimePoint now) {
+  StepRecord* step = FindStep(job, id);
+  TaskRecord* task = TaskIn(step, id);
+  task->state = TaskState::kStarting;
+  task->worker = worker;
+  task->run = run;
+  task->sent_at = now;
+  ++step->active;
+}
+
+void AdoptRun(JobRecord* job, const TaskId& id, const std::string& worker,
+              const RunningTask& running, TimePoint now) {
+  StepRecord* step = FindStep(job, id);
+  TaskRecord* task = TaskIn(step, id);
+  task->state = TaskState::kRunning;
+  task->in_doubt = false;
+  task->worker = worker;
+  task->run = running.run;
+  task->checkpoint = running.checkpoint;
+  task->sent_at = now;
+  task->started_at = now;
+  ++step->active;
+  if (job->state == JobState::kQueued) job->state = JobState::kRunning;
+}
+
+void Requeue(JobRecord* job, const TaskId& id) {
+  StepRecord* step = FindStep(job, id);
+  if (step != nullptr && TaskIn(step, id)->state != TaskState::kDone) {
+    Deactivate(step, id, TaskState::kWaiting);
+  }
+}
+
+EndEffect ApplyEnd(JobRecord* job, const EndedTask& end,
+                   const std::string& worker, int max_attempts) {
+  StepRecord* step = FindStep(job, end.task);
+  if (step == nullptr) return EndEffect::kIgnored;
+  TaskRecord* task = TaskIn(step, end.task);
+  if (task->state == TaskState::kDone) return EndEffect::kIgnored;
+  const StepSpec& spec =
+      job->spec.steps[static_cast<std::size_t>(end.task.step)];
+  if (end.kind == EndKind::kDone && !spec.lasting) {
+    return spec.gang ? MarkGangDone(job, end.task)
+                     : MarkDone(job, step, end.task);
+  }
+  // Members of a gang fail together; the first member carries their count.
+  TaskRecord* counter = spec.gang ? &step->tasks.front() : task;
+  const bool counts = end.kind == EndKind::kFailed && !spec.lasting &&
+                      end.run > counter->counted_run;
+  if (counts) {
+    ++counter->failures;
+    counter->counted_run = end.run;
+    task->failed_on = worker;
+  }
+  if (!end.checkpoint.empty()) task->checkpoint = end.checkpoint;
+  const bool current = task->worker == worker && task->run == end.run;
+  if (current || task->state == TaskState::kWaiting) {
+    task->run = std::max(task->run, end.run);
+    Deactivate(step, end.task, TaskState::kWaiting);
+  }
+  if (counts && counter->failures >= max_attempts) {
+    job->state = JobState::kFailed;
+    return EndEffect::kJobFailed;
+  }
+  return current || counts ? EndEffect::kRequeued : EndEffect::kIgnored;
+}
+
+void ForEachActive(
+    JobRecord* job,
+    const std::function<void(const TaskId&, TaskRecord*)>& visit) {
+  for (auto& [number, occurrence] : job->occurrences) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      StepRecord& step = occurrence.steps[s];
+      if (step.active == 0) continue;
+      for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        if (!IsActive(step.tasks[i].state)) continue;
+        visit({.job = job->spec.id,
+               .occurrence = number,
+               .step = static_cast<int>(s),
+               .index = static_cast<int>(i)},
+              &step.tasks[i]);
+      }
+    }
+  }
+}
+
+}  // namespace basilusher
--- /dev/null
+++ b/lib/Node/NodeAgent.cc
@@ -0,0 +1,331 @@
+// Lease, registration and election.
+#include "basilusher/Node/NodeAgent.h"
+
+#include <algorithm>
+
+#include "basilusher/Support/Json.h"
+#include "basilusher/Support/Log.h"
+
+namespace basilusher {
+namespace {
+
+/// A node's lease: an owner that is lost is replaced after about this long.
+constexpr Millis kLeaseTtl{2000};
+/// Renewals leave room for two tries within the lease.
+constexpr Millis kRenewPeriod{500};
+constexpr Millis kRenewRetry{100};
+constexpr Millis kControlWait{4000};
+/// The weakest node stands this much later than the strongest.
+constexpr double kWeaknessDelayMs = 60.0;
+/// At most this long for records to be stored at a planned stop.
+constexpr Millis kStopFlushLimit{1500};
+constexpr Millis kStopPoll{20};
+constexpr Millis kEndTermTimeout{400};
+
+}  // namespace
+
+NodeAgent::NodeAgent(OwnerPorts ports, PeerClient* peers, NodeOptions options,
+                     CatalogSource catalog)
+    : ports_(ports),
+      peer_client_(peers),
+      options_(std::move(options)),
+      catalog_(std::move(catalog)) {
+  watcher_ = std::make_shared<StoreWatcher>(
+      ports_.store, ports_.timers, ports_.clock,
+      StoreWatcherOptions{.prefix = options_.owner.keys.control_prefix,
+                          .wait = kControlWait},
+      StoreWatcher::Listener{
+          .on_item = [this](const StoredItem& item) { OnControl(item); },
+          .on_loaded = [this] { ConsiderElection(); }});
+}
+
+void NodeAgent::Begin() {
+  watcher_->Begin();
+  GrantLease();
+}
+
+void NodeAgent::GrantLease() {
+  if (stopping_) return;
+  const TimePoint sent_at = ports_.clock->Now();
+  ports_.store->GrantLease(
+      kLeaseTtl, [self = shared_from_this(), sent_at](const StoreAnswer& a) {
+        if (a.status != TxnStatus::kOk) {
+          self->ports_.timers->After(kRenewRetry,
+                                     [self] { self->GrantLease(); });
+          return;
+        }
+        self->lease_ = a.revision;
+        self->confirmed_until_ = sent_at + kLeaseTtl;
+        self->Register();
+        self->ConsiderElection();
+        self->ports_.timers->After(kRenewPeriod,
+                                   [self] { self->KeepLease(); });
+      });
+}
+
+void NodeAgent::KeepLease() {
+  if (lease_ == 0) return;
+  const TimePoint sent_at = ports_.clock->Now();
+  ports_.store->KeepLease(
+      lease_, [self = shared_from_this(), sent_at,
+               lease = lease_](const StoreAnswer& answer) {
+        if (lease != self->lease_) return;
+        if (answer.status == TxnStatus::kNotFound) {
+          self->LoseLease("the lease has ended at the store");
+          return;
+        }
+        const bool kept = answer.status == TxnStatus::kOk;
+        if (kept) self->confirmed_until_ = sent_at + kLeaseTtl;
+        self->ports_.timers->After(kept ? kRenewPeriod : kRenewRetry,
+                                   [self] { self->KeepLease(); });
+      });
+}
+
+void NodeAgent::LoseLease(const char* reason) {
+  lease_ = 0;
+  LogEvent(LogLevel::kWarning, "lease-lost", {{"reason", reason}});
+  Depose(reason);
+  GrantLease();
+}
+
+void NodeAgent::Register() {
+  if (stopping_ || lease_ == 0) return;
+  const std::string key = options_.owner.keys.node_prefix + options_.node;
+  Txn txn;
+  txn.writes.push_back({.key = key,
+                        .value = Json({{"address", options_.peer_address},
+                                       {"incarnation", options_.incarnation}})
+                                     .dump(),
+                        .lease = lease_});
+  ports_.store->Commit(txn, [self = shared_from_this(),
+                             lease = lease_](const StoreAnswer& answer) {
+    if (answer.status == TxnStatus::kOk || lease != self->lease_) return;
+    self->ports_.timers->After(kRenewRetry, [self] { self->Register(); });
+  });
+}
+
+void NodeAgent::OnControl(const StoredItem& item) {
+  const RecordKeys& keys = options_.owner.keys;
+  const Json document =
+      item.removed ? Json() : Json::parse(item.value, nullptr, false);
+  if (item.key == keys.term) {
+    term_ = document.is_object() ? document.value("term", std::int64_t{0}) : 0;
+    term_key_revision_ = item.revision;
+  } else if (item.key == keys.owner) {
+    if (!owner_view_.node.empty()) earlier_owner_ = owner_view_;
+    owner_view_ = {};
+    if (document.is_object()) {
+      owner_view_ = {.node = document.value("node", ""),
+                     .address = document.value("address", ""),
+                     .incarnation = document.value("incarnation", ""),
+                     .term = document.value("term", std::int64_t{0}),
+                     .revision = item.revision};
+      LogEvent(LogLevel::kInfo, "owner",
+               {{"node", owner_view_.node}, {"term", owner_view_.term}});
+      if (owner_ != nullptr && owner_view_.term > owner_->Term()) {
+        Depose("a later term has begun");
+      }
+    }
+  } else if (item.key.starts_with(keys.node_prefix)) {
+    const std::string node = item.key.substr(keys.node_prefix.size());
+    if (node == options_.node) return;
+    if (document.is_object()) {
+      peers_[node] = document.value("address", "");
+    } else {
+      peers_.erase(node);
+    }
+    return;
+  }
+  if (watcher_->Loaded()) ConsiderElection();
+}
+
+void NodeAgent::ConsiderElection() {
+  if (stopping_ || standing_ || election_planned_ || owner_ != nullptr ||
+      lease_ == 0 || !watcher_->Loaded() || catalog_() == nullptr) {
+    return;
+  }
+  const bool own_earlier_life = owner_view_.node == options_.node &&
+                                owner_view_.incarnation != options_.incarnation;
+  if (!owner_view_.node.empty() && !own_earlier_life) return;
+  election_planned_ = true;
+  const double weakness = 1.0 / std::max(0.05, options_.strength) - 1.0;
+  const Millis delay(static_cast<std::int64_t>(weakness * kWeaknessDelayMs));
+  ports_.timers->After(delay, [self = shared_from_this()] {
+    self->election_planned_ = false;
+    self->StandForElection();
+  });
+}
+
+void NodeAgent::StandForElection() {
+  const bool own_earlier_life = owner_view_.node == options_.node &&
+                                owner_view_.incarnation != options_.incarnation;
+  if (stopping_ || standing_ || owner_ != nullptr || lease_ == 0 ||
+      (!owner_view_.node.empty() && !own_earlier_life)) {
+    return;
+  }
+  standing_ = true;
+  const std::int64_t term = term_ + 1;
+  const RecordKeys& keys = options_.owner.keys;
+  Txn txn;
+  txn.conditions.push_back({keys.owner, owner_view_.revision});
+  txn.conditions.push_back({keys.term, term_key_revision_});
+  txn.writes.push_back({.key = keys.owner,
+                        .value = Json({{"node", options_.node},
+                                       {"address", options_.peer_address},
+                                       {"incarnation", options_.incarnation},
+                                       {"term", term}})
+                                     .dump(),
+                        .lease = lease_});
+  txn.writes.push_back(
+      {.key = keys.term, .value = Json({{"term", term}}).dump()});
+  ports_.store->Commit(txn, [self = shared_from_this(), term, keys,
+                             lease = lease_](const StoreAnswer& answer) {
+    self->standing_ = false;
+    if (answer.status == TxnStatus::kOk) {
+      if (lease == self->lease_) self->OnElected(term, answer.revision);
+      return;
+    }
+    if (answer.status == TxnStatus::kConflict) {
+      for (const StoredItem& item : answer.items) {
+        if (item.key != keys.owner || item.revision == 0) continue;
+        const Json holder = Json::parse(item.value, nullptr, false);
+        // A try whose answer was lost was done.
+        if (holder.is_object() &&
+            holder.value("incarnation", "") == self->options_.incarnation &&
+            holder.value("term", std::int64_t{0}) == term &&
+            lease == self->lease_) {
+          self->OnElected(term, item.revision);
+          return;
+        }
+      }
+    }
+    // The watch tells what has changed; stand again if nobody holds the term.
+    self->ports_.timers->After(kRenewRetry,
+                               [self] { self->ConsiderElection(); });
+  });
+}
+
+void NodeAgent::OnElected(std::int64_t term, std::int64_t revision) {
+  if (owner_ != nullptr || stopping_) return;
+  LogEvent(LogLevel::kInfo, "elected", {{"term", term}});
+  OwnerOptions options = options_.owner;
+  options.term = term;
+  options.term_revision = revision;
+  owner_ = std::make_shared<PartitionOwner>(
+      ports_, options,
+      PartitionOwner::Listener{
+          .on_deposed =
+              [weak = weak_from_this()] {
+                // The owner may be on the call stack.
+                const std::shared_ptr<NodeAgent> self = weak.lock();
+                if (self == nullptr) return;
+                self->ports_.timers->After(
+                    Millis(0), [self, owner = self->owner_] {
+                      if (owner == self->owner_) self->Depose("fenced");
+                    });
+              },
+          .confirmed_until = [this] { return confirmed_until_; }});
+  const OwnerView earlier =
+      owner_view_.node.empty() || owner_view_.term == term ? earlier_owner_
+                                                           : owner_view_;
+  owner_view_ = {.node = options_.node,
+                 .address = options_.peer_address,
+                 .incarnation = options_.incarnation,
+                 .term = term,
+                 .revision = revision};
+  owner_->Begin(catalog_());
+  for (const auto& [number, wave] : waves_) owner_->SetWave(wave);
+  AskEarlierOwner(earlier);
+}
+
+void NodeAgent::AskEarlierOwner(const OwnerView& earlier) {
+  if (earlier.address.empty()) return;
+  if (earlier.node == options_.node) {
+    owner_->NoteEarlierOwnerStopped();
+    return;
+  }
+  const std::shared_ptr<PartitionOwner> owner = owner_;
+  peer_client_->Call(
+      earlier.address, PeerPaths::kEndTerm, {{"below", owner->Term()}},
+      kEndTermTimeout,
+      [self = shared_from_this(), owner, earlier](std::optional<Json> answer) {
+        if (self->owner_ != owner) return;
+        if (answer && answer->value("ended", false)) {
+          owner->NoteEarlierOwnerStopped();
+          return;
+        }
+        self->ports_.timers->After(kRenewPeriod, [self, owner, earlier] {
+          if (self->owner_ == owner) self->AskEarlierOwner(earlier);
+        });
+      });
+}
+
+bool NodeAgent::EndTermBelow(std::int64_t term) {
+  if (owner_ != nullptr && owner_->Term() < term) {
+    Depose("a later owner asked");
+  }
+  return owner_ == nullptr || owner_->Term() >= term;
+}
+
+void NodeAgent::Depose(const char* reason) {
+  if (owner_ == nullptr) return;
+  LogEvent(LogLevel::kWarning, "term-ended",
+           {{"term", owner_->Term()}, {"reason", reason}});
+  owner_->Close();
+  owner_.reset();
+  if (owner_view_.incarnation == options_.incarnation) {
+    earlier_owner_ = owner_view_;
+    owner_view_ = {};
+  }
+  ConsiderElection();
+}
+
+PartitionOwner* NodeAgent::LocalOwner() {
+  return owner_ != nullptr && owner_->Loaded() ? owner_.get() : nullptr;
+}
+
+const OwnerView* NodeAgent::RemoteOwner() const {
+  if (owner_ != nullptr || owner_view_.address.empty()) return nullptr;
+  return &owner_view_;
+}
+
+void NodeAgent::OnCatalog(const std::shared_ptr<const Catalog>& catalog) {
+  if (owner_ != nullptr) owner_->SetCatalog(catalog);
+  ConsiderElection();
+}
+
+void NodeAgent::OnWave(const MaintenanceWave& wave) {
+  waves_[wave.number] = wave;
+  if (owner_ != nullptr) owner_->SetWave(wave);
+}
+
+void NodeAgent::Stop(std::function<void()> done) {
+  stopping_ = true;
+  on_stopped_ = std::move(done);
+  stop_began_ = ports_.clock->Now();
+  FinishStop();
+}
+
+void NodeAgent::FinishStop() {
+  const bool flushed = owner_ == nullptr || owner_->RecordsIdle() ||
+                       ports_.clock->Now() - stop_began_ > kStopFlushLimit;
+  if (!flushed) {
+    ports_.timers->After(kStopPoll,
+                         [self = shared_from_this()] { self->FinishStop(); });
+    return;
+  }
+  Depose("the node stops");
+  if (lease_ == 0) return on_stopped_();
+  const std::int64_t lease = lease_;
+  lease_ = 0;
+  ports_.store->EndLease(lease, [self = shared_from_this()](
+                                    const StoreAnswer& answer) {
+    if (answer.status != TxnStatus::kOk) {
+      LogEvent(LogLevel::kWarning, "lease-not-ended",
+               {{"status", NameOf(kTxnStatusNames, answer.status)}});
+    }
+    self->on_stopped_();
+  });
+}
+
+}  // namespace basilusher
--- /dev/null
+++ b/lib/Node/Peers.cc
@@ -0,0 +1,77 @@
+// Calls between nodes.
+#include "basilusher/Node/Peers.h"
+
+namespace basilusher {
+namespace {
+
+/// Largest body between nodes: a configuration with room to grow.
+constexpr std::size_t kMaxPeerBody = 4 * 1024 * 1024;
+constexpr int kStatusOk = 200;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusUnavailable = 503;
+
+}  // namespace
+
+void PeerClient::Call(const std::string& address, const char* path,
+                      const Json& body, Millis timeout, PeerCallback done) {
+  http_->Call(
+      address,
+      {.method = "POST",
+       .target = path,
+       .headers = {},
+       .body = body.dump(),
+       .timeout = timeout},
+      [done = std::move(done)](const HttpAnswer& answer) {
+        if (answer.outcome != CallOutcome::kAnswered ||
+            answer.status != kStatusOk) {
+          done(std::nullopt);
+          return;
+        }
+        Json document = Json::parse(answer.body, nullptr, false);
+        if (!document.is_object()) {
+          done(std::nullopt);
+          return;
+        }
+        done(std::move(document));
+      });
+}
+
+PeerServer::PeerServer(IoLoop* loop, const std::string& address)
+    : server_(loop,
+              {.address = address, .max_body_bytes = kMaxPeerBody},
+              [this](const HttpRequest& request,
+                     const HttpResponder& respond) {
+                Serve(request, respond);
+              }) {}
+
+void PeerServer::On(const char* path, Method method) {
+  methods_[path] = std::move(method);
+}
+
+void PeerServer::Serve(const HttpRequest& request,
+                       const HttpResponder& respond) {
+  const auto method = methods_.find(request.target);
+  if (method == methods_.end()) {
+    respond({.status = kStatusNotFound, .body = {}});
+    return;
+  }
+  const Json body = Json::parse(request.body, nullptr, false);
+  if (!body.is_object()) {
+    respond({.status = kStatusBadRequest, .body = {}});
+    return;
+  }
+  try {
+    method->second(body, [respond](std::optional<Json> answer) {
+      if (!answer) {
+        respond({.status = kStatusUnavailable, .body = {}});
+        return;
+      }
+      respond({.status = kStatusOk, .body = answer->dump()});
+    });
+  } catch (const Json::exception&) {
+    respond({.status = kStatusBadRequest, .body = {}});
+  }
+}
+
+}  // namespace basilusher
--- /dev/null
+++ b/lib/Partition/OwnerDispatch.cc
@@ -0,0 +1,301 @@
+// Placing waiting tasks on workers.
+#include <algorithm>
+
+#include "basilusher/Partition/PartitionOwner.h"
+#include "basilusher/Support/Log.h"
+
+namespace basilusher {
+namespace {
+
+/// Events that come within this time share one round of placement.
+constexpr Millis kDispatchDelay{1};
+/// Timed work is looked at this often.
+constexpr Millis kTickPeriod{100};
+/// A worker that refused a start gets no other of that task for a while.
+constexpr Millis kRetryAfterRefusal{100};
+/// Runs of one term are numbered from (term - 1) times this.
+constexpr std::int64_t kRunsPerTerm = 1000;
+
+}  // namespace
+
+const QueueConfig* PartitionOwner::QueueOf(const JobRecord& job) const {
+  if (catalog_ == nullptr) return nullptr;
+  const auto it = catalog_->queues.find(job.spec.queue);
+  return it == catalog_->queues.end() ? nullptr : &it->second;
+}
+
+void PartitionOwner::ScheduleDispatch() {
+  if (dispatch_planned_ || closed_) return;
+  dispatch_planned_ = true;
+  ports_.timers->After(kDispatchDelay, [self = shared_from_this()] {
+    self->dispatch_planned_ = false;
+    if (!self->closed_) self->Dispatch();
+  });
+}
+
+void PartitionOwner::Tick() {
+  if (closed_) return;
+  const TimePoint now = ports_.clock->Now();
+  if (loaded_) {
+    const std::int64_t unix_ms = WallMicros() / 1000;
+    for (const auto& [id, job] : jobs_.All()) {
+      if (job->spec.times > 0) OpenDueOccurrences(job.get(), unix_ms);
+    }
+    ForgetOldFinals();
+    const bool renewing =
+        now < listener_.confirmed_until() + options_.max_unconfirmed;
+    for (const auto& [id, worker] : workers_) {
+      worker->link->SetRenewing(renewing);
+    }
+    Dispatch();
+  }
+  ports_.timers->After(kTickPeriod, [self = shared_from_this()] {
+    self->Tick();
+  });
+}
+
+bool PartitionOwner::MayStart() const {
+  return loaded_ && catalog_ != nullptr &&
+         ports_.clock->Now() <
+             listener_.confirmed_until() + options_.max_unconfirmed;
+}
+
+bool PartitionOwner::Usable(const WorkerState& worker) const {
+  return worker.listed && worker.recorded && !worker.reserved &&
+         !worker.entry.draining && worker.strangers_listed == 0 &&
+         worker.link->Ready();
+}
+
+void PartitionOwner::Dispatch() {
+  if (!MayStart()) return;
+  const TimePoint now = ports_.clock->Now();
+  std::map<std::string, std::vector<WorkerSlot*>> pools;
+  for (const auto& [id, worker] : workers_) {
+    if (Usable(*worker)) pools[worker->slot.pool].push_back(&worker->slot);
+  }
+  struct Candidate {
+    Urgency urgency;
+    JobRecord* job;
+    int occurrence;
+    const std::vector<WorkerSlot*>* slots;
+  };
+  std::vector<Candidate> candidates;
+  for (const auto& [id, job] : jobs_.All()) {
+    if (IsFinal(job->state)) continue;
+    const QueueConfig* queue = QueueOf(*job);
+    if (queue == nullptr) continue;
+    const auto slots = pools.find(queue->pool);
+    if (slots == pools.end()) continue;
+    for (auto& [number, occurrence] : job->occurrences) {
+      bool waiting = false;
+      for (const StepRecord& step : occurrence.steps) {
+        waiting = waiting || step.done + step.active <
+                                 static_cast<int>(step.tasks.size());
+      }
+      if (!waiting) continue;
+      candidates.push_back(
+          {RankJob(*job, occurrence, *queue,
+                   durations_[job->spec.queue].ratio, now),
+           job.get(), number, &slots->second});
+    }
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return a.urgency < b.urgency;
+            });
+  for (const Candidate& candidate : candidates) {
+    const OccurrenceRecord& occurrence =
+        candidate.job->occurrences.at(candidate.occurrence);
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      const StepRecord& step = occurrence.steps[s];
+      const int index = static_cast<int>(s);
+      if (step.done + step.active >= static_cast<int>(step.tasks.size()) ||
+          !StepReady(*candidate.job, occurrence, index)) {
+        continue;
+      }
+      if (candidate.job->spec.steps[s].gang) {
+        PlaceGang(candidate.job, candidate.occurrence, index,
+                  *candidate.slots);
+      } else {
+        PlaceStep(candidate.job, candidate.occurrence, index,
+                  *candidate.slots);
+      }
+    }
+  }
+}
+
+bool PartitionOwner::WithinCap(const JobRecord& job,
+                               const Resources& need) const {
+  const auto workspace = catalog_->workspaces.find(job.spec.workspace);
+  if (workspace == catalog_->workspaces.end()) return true;
+  Resources used;
+  const auto it = workspace_used_.find(job.spec.workspace);
+  if (it != workspace_used_.end()) used = it->second;
+  used += need;
+  const Resources& cap = workspace->second.cap;
+  return (cap.cpu_millis == 0 || used.cpu_millis <= cap.cpu_millis) &&
+         (cap.memory_mb == 0 || used.memory_mb <= cap.memory_mb) &&
+         (cap.accelerators == 0 || used.accelerators <= cap.accelerators);
+}
+
+std::int64_t PartitionOwner::NextRun(const TaskRecord& task) const {
+  return std::max(task.run, (options_.term - 1) * kRunsPerTerm) + 1;
+}
+
+void PartitionOwner::PlaceStep(JobRecord* job, int occurrence, int step,
+                               const std::vector<WorkerSlot*>& slots) {
+  const TimePoint now = ports_.clock->Now();
+  const StepSpec& spec = job->spec.steps[static_cast<std::size_t>(step)];
+  StepRecord& record = job->occurrences.at(occurrence)
+                           .steps[static_cast<std::size_t>(step)];
+  std::map<std::string, int> siblings;
+  for (const TaskRecord& task : record.tasks) {
+    if (!task.worker.empty()) ++siblings[task.worker];
+  }
+  // A task of an earlier owner may run at a worker that was not read yet.
+  const bool doubtful =
+      job->inherited && !unread_workers_.empty() && now < doubt_until_;
+  PlacementRequest request;
+  request.step = &spec;
+  request.siblings = [&siblings](const WorkerSlot& worker) {
+    const auto it = siblings.find(worker.id);
+    return it == siblings.end() ? 0 : it->second;
+  };
+  bool passed_waiting = false;
+  for (int i = record.first_waiting; i < spec.count; ++i) {
+    TaskRecord& task = record.tasks[static_cast<std::size_t>(i)];
+    if (task.state != TaskState::kWaiting) continue;
+    if (!passed_waiting) {
+      record.first_waiting = i;
+      passed_waiting = true;
+    }
+    if (now < task.not_before || (doubtful && task.run == 0)) continue;
+    if (!WithinCap(*job, spec.need)) return;
+    request.avoid = task.failed_on;
+    WorkerSlot* slot = ChooseWorker(request, slots);
+    if (slot == nullptr) return;
+    const TaskId id = {.job = job->spec.id,
+                       .occurrence = occurrence,
+                       .step = step,
+                       .index = i};
+    ++siblings[slot->id];
+    StartTask(job, id, FindWorker(slot->id), NextRun(task));
+  }
+}
+
+void PartitionOwner::PlaceGang(JobRecord* job, int occurrence, int step,
+                               const std::vector<WorkerSlot*>& slots) {
+  const TimePoint now = ports_.clock->Now();
+  const StepSpec& spec = job->spec.steps[static_cast<std::size_t>(step)];
+  StepRecord& record = job->occurrences.at(occurrence)
+                           .steps[static_cast<std::size_t>(step)];
+  const bool doubtful =
+      job->inherited && !unread_workers_.empty() && now < doubt_until_;
+  std::int64_t run = 0;
+  for (const TaskRecord& task : record.tasks) {
+    // Members start all together or not at all.
+    if (task.state != TaskState::kWaiting || now < task.not_before) return;
+    if (doubtful && task.run == 0) return;
+    run = std::max(run, NextRun(task));
+  }
+  if (!WithinCap(*job, spec.need * spec.count)) return;
+  std::vector<WorkerSlot> trial;
+  trial.reserve(slots.size());
+  for (const WorkerSlot* slot : slots) trial.push_back(*slot);
+  std::vector<WorkerSlot*> trial_slots;
+  for (WorkerSlot& slot : trial) trial_slots.push_back(&slot);
+  std::map<std::string, int> siblings;
+  PlacementRequest request;
+  request.step = &spec;
+  request.siblings = [&siblings](const WorkerSlot& worker) {
+    const auto it = siblings.find(worker.id);
+    return it == siblings.end() ? 0 : it->second;
+  };
+  std::vector<std::string> chosen;
+  for (int i = 0; i < spec.count; ++i) {
+    WorkerSlot* slot = ChooseWorker(request, trial_slots);
+    if (slot == nullptr) return;
+    slot->used += Charge(spec);
+    ++siblings[slot->id];
+    if (spec.same_rack && request.rack.empty()) request.rack = slot->rack;
+    chosen.push_back(slot->id);
+  }
+  for (int i = 0; i < spec.count; ++i) {
+    StartTask(job,
+              {.job = job->spec.id,
+               .occurrence = occurrence,
+               .step = step,
+               .index = i},
+              FindWorker(chosen[static_cast<std::size_t>(i)]), run);
+  }
+}
+
+void PartitionOwner::StartTask(JobRecord* job, const TaskId& id,
+                               WorkerState* worker, std::int64_t run) {
+  const TimePoint now = ports_.clock->Now();
+  TaskRecord* task = jobs_.FindTask(id);
+  BeginStart(job, id, worker->slot.id, run, now);
+  task->in_doubt = false;
+  task->started_at = TimePoint{};
+  Reserve(worker, job, id);
+  LogEvent(LogLevel::kInfo, "run-start",
+           {{"task", FormatTaskId(id)},
+            {"run", run},
+            {"worker", worker->slot.id},
+            {"waited_ms", (now - job->accepted_at).count()},
+            {"free_cpu", worker->slot.room.cpu_millis -
+                             worker->slot.used.cpu_millis}});
+  worker->link->Start({.task = id,
+                       .run = run,
+                       .payload = job->spec.payload,
+                       .checkpoint = task->checkpoint,
+                       .ticket = {}},
+                      [this, id, run, worker_id = worker->slot.id](
+                          OrderResult result) {
+                        OnStartResult(id, run, worker_id, result);
+                      });
+}
+
+void PartitionOwner::OnStartResult(const TaskId& id, std::int64_t run,
+                                   const std::string& worker,
+                                   OrderResult result) {
+  JobRecord* job = jobs_.Find(id.job);
+  TaskRecord* task = jobs_.FindTask(id);
+  if (task == nullptr || task->worker != worker || task->run != run) return;
+  const TimePoint now = ports_.clock->Now();
+  if (result == OrderResult::kDone) {
+    if (task->state == TaskState::kStarting) {
+      task->state = TaskState::kRunning;
+      task->started_at = now;
+      if (job->state == JobState::kQueued) job->state = JobState::kRunning;
+    }
+    return;
+  }
+  LogEvent(LogLevel::kWarning, "run-not-started",
+           {{"task", FormatTaskId(id)},
+            {"run", run},
+            {"worker", worker},
+            {"result", NameOf(kOrderResultNames, result)}});
+  if (result == OrderResult::kUnknown) {
+    task->in_doubt = true;
+    return;
+  }
+  if (task->state == TaskState::kRunning) return;  // listed before the answer
+  task->not_before = now + kRetryAfterRefusal;
+  if (result == OrderResult::kUnhealthy || result == OrderResult::kNoRoom) {
+    task->failed_on = worker;
+  }
+  ReturnToQueue(job, id);
+  if (IsFinal(job->state)) DropIfFinished(id.job);
+  ScheduleDispatch();
+}
+
+void PartitionOwner::SetWave(const MaintenanceWave& wave) {
+  LogEvent(LogLevel::kInfo, "wave",
+           {{"wave", wave.number},
+            {"instances", wave.instances.size()},
+            {"ramp_s", wave.ramp_s},
+            {"max_at_once", wave.max_at_once}});
+}
+
+}  // namespace basilusher
--- /dev/null
+++ b/lib/Partition/OwnerRecords.cc
@@ -0,0 +1,370 @@
+// What an owner loads when its term begins, and what fronts hand in after it.
+#include "basilusher/Partition/PartitionOwner.h"
+#include "basilusher/Support/Json.h"
+#include "basilusher/Support/Log.h"
+
+namespace basilusher {
+namespace {
+
+/// Between tries to load records while the store refuses or is silent.
+constexpr Millis kLoadRetryDelay{100};
+/// How long a change of the inbox may stay unheard if its watch went silent.
+constexpr Millis kInboxWait{2000};
+constexpr Millis kDirectoryWait{2000};
+
+std::string EncodeFinal(const JobRecord& job) {
+  return Json({{"s", NameOf(kJobStateNames, job.state)},
+               {"q", job.spec.queue}})
+      .dump();
+}
+
+std::optional<ShownJob> DecodeFinal(const std::string& bytes) {
+  const Json document = Json::parse(bytes, nullptr, false);
+  if (!document.is_object()) return std::nullopt;
+  const std::optional<JobState> state =
+      ValueOf(kJobStateNames, document.value("s", std::string()));
+  if (!state) return std::nullopt;
+  return ShownJob{.state = *state, .queue = document.value("q", "")};
+}
+
+}  // namespace
+
+PartitionOwner::PartitionOwner(OwnerPorts ports, OwnerOptions options,
+                               Listener listener)
+    : ports_(ports),
+      options_(std::move(options)),
+      listener_(std::move(listener)) {
+  const RecordKeys& keys = options_.keys;
+  recorder_ = std::make_shared<Recorder>(
+      ports_.store, ports_.timers,
+      RecorderKeys{.term_key = keys.owner,
+                   .term_revision = options_.term_revision,
+                   .progress_prefix = keys.progress_prefix,
+                   .final_prefix = keys.final_prefix,
+                   .removed_prefixes = {keys.job_prefix, keys.cancel_prefix}},
+      Recorder::Listener{
+          .image = [this](const std::string& job) { return ImageOf(job); },
+          .on_final =
+              [this](const std::string& id) {
+                JobRecord* job = jobs_.Find(id);
+                if (job == nullptr) return;
+                job->final_stored = true;
+                job->final_at = ports_.clock->Now();
+                finals_[id] = {.shown = {.state = job->state,
+                                         .queue = job->spec.queue},
+                               .stored_at = job->final_at};
+                DropIfFinished(id);
+              },
+          .on_deposed = [this] { listener_.on_deposed(); }});
+}
+
+PartitionOwner::~PartitionOwner() { Close(); }
+
+void PartitionOwner::Close() {
+  if (closed_) return;
+  closed_ = true;
+  recorder_->Close();
+  if (inbox_ != nullptr) inbox_->Close();
+  if (directory_ != nullptr) directory_->Close();
+  for (const auto& [id, worker] : workers_) worker->link->Close();
+}
+
+void PartitionOwner::Begin(std::shared_ptr<const Catalog> catalog) {
+  catalog_ = std::move(catalog);
+  began_at_ = ports_.clock->Now();
+  const Millis lease_bound =
+      LeaseSurelyEnded(began_at_, 0, options_.task_lease.count()) - began_at_;
+  doubt_until_ = began_at_ + options_.earlier_owner + lease_bound;
+  LoadProgress();
+  LoadFinals();
+  LoadWorkers();
+  directory_ = std::make_shared<StoreWatcher>(
+      ports_.store, ports_.timers, ports_.clock,
+      StoreWatcherOptions{.prefix = ports_.formats->WorkerPrefix(),
+                          .wait = kDirectoryWait},
+      StoreWatcher::Listener{
+          .on_item = [this](const StoredItem& item) { OnDirectory(item); },
+          .on_loaded = [this] { OnLoaded(); }});
+  directory_->Begin();
+  inbox_ = std::make_shared<StoreWatcher>(
+      ports_.store, ports_.timers, ports_.clock,
+      StoreWatcherOptions{.prefix = options_.keys.inbox_prefix,
+                          .wait = kInboxWait},
+      StoreWatcher::Listener{
+          .on_item = [this](const StoredItem& item) { OnInbox(item); },
+          .on_loaded = [this] { OnLoaded(); }});
+  Tick();
+}
+
+void PartitionOwner::LoadProgress() {
+  ports_.store->List(
+      options_.keys.progress_prefix,
+      [self = shared_from_this()](const StoreAnswer& answer) {
+        if (self->closed_) return;
+        if (answer.status != TxnStatus::kOk) {
+          self->ports_.timers->After(kLoadRetryDelay, [self] {
+            if (!self->closed_) self->LoadProgress();
+          });
+          return;
+        }
+        const std::size_t skip = self->options_.keys.progress_prefix.size();
+        for (const StoredItem& item : answer.items) {
+          self->loaded_progress_[item.key.substr(skip)] = item;
+        }
+        self->progress_loaded_ = true;
+        // Jobs are read after their progress: a job whose progress is not
+        // listed has none.
+        self->inbox_->Begin();
+      });
+}
+
+void PartitionOwner::LoadFinals() {
+  ports_.store->List(
+      options_.keys.final_prefix,
+      [self = shared_from_this()](const StoreAnswer& answer) {
+        if (self->closed_) return;
+        if (answer.status != TxnStatus::kOk) {
+          self->ports_.timers->After(kLoadRetryDelay, [self] {
+            if (!self->closed_) self->LoadFinals();
+          });
+          return;
+        }
+        const std::size_t skip = self->options_.keys.final_prefix.size();
+        for (const StoredItem& item : answer.items) {
+          const std::optional<ShownJob> shown = DecodeFinal(item.value);
+          if (!shown) continue;
+          self->finals_[item.key.substr(skip)] = {
+              .shown = *shown, .stored_at = self->ports_.clock->Now()};
+        }
+        self->finals_loaded_ = true;
+        self->OnLoaded();
+      });
+}
+
+void PartitionOwner::LoadWorkers() {
+  ports_.store->Get(
+      options_.keys.workers,
+      [self = shared_from_this()](const StoreAnswer& answer) {
+        if (self->closed_) return;
+        if (answer.status != TxnStatus::kOk &&
+            answer.status != TxnStatus::kNotFound) {
+          self->ports_.timers->After(kLoadRetryDelay, [self] {
+            if (!self->closed_) self->LoadWorkers();
+          });
+          return;
+        }
+        const Json known =
+            answer.items.empty()
+                ? Json::object()
+                : Json::parse(answer.items.front().value, nullptr, false);
+        if (known.is_object()) {
+          for (const auto& [id, address] : known.items()) {
+            if (!address.is_string()) continue;
+            WorkerState* worker =
+                self->AddWorker(id, address.get<std::string>());
+            worker->recorded = true;
+            if (!worker->link->Synced()) self->unread_workers_.insert(id);
+          }
+        }
+        self->workers_loaded_ = true;
+        self->OnLoaded();
+      });
+}
+
+void PartitionOwner::OnLoaded() {
+  if (loaded_ || !finals_loaded_ || !workers_loaded_ || !inbox_->Loaded() ||
+      !directory_->Loaded()) {
+    return;
+  }
+  loaded_ = true;
+  loaded_progress_.clear();
+  LogEvent(LogLevel::kInfo, "owner-loaded",
+           {{"term", options_.term},
+            {"jobs", jobs_.All().size()},
+            {"finals", finals_.size()},
+            {"workers", workers_.size()},
+            {"unread", unread_workers_.size()},
+            {"after_ms", (ports_.clock->Now() - began_at_).count()}});
+  for (const auto& [id, worker] : workers_) {
+    if (worker->link->Synced()) unread_workers_.erase(id);
+  }
+  // Lists that were read before the jobs were known are read again.
+  for (const auto& [id, worker] : workers_) worker->link->Begin();
+  SaveWorkers();
+  ScheduleDispatch();
+}
+
+void PartitionOwner::OnInbox(const StoredItem& item) {
+  if (item.removed) return;
+  const RecordKeys& keys = options_.keys;
+  if (item.key.starts_with(keys.job_prefix)) {
+    AddJob(item.key.substr(keys.job_prefix.size()), item);
+  } else if (item.key.starts_with(keys.cancel_prefix)) {
+    CancelJob(item.key.substr(keys.cancel_prefix.size()));
+  }
+}
+
+void PartitionOwner::AddJob(const std::string& id, const StoredItem& item) {
+  if (jobs_.Find(id) != nullptr || finals_.contains(id)) return;
+  JobSpec spec;
+  try {
+    spec = DecodeJobSpec(item.value);
+  } catch (const Error& error) {
+    LogEvent(LogLevel::kError, "job-unreadable",
+             {{"job", id}, {"error", error.what()}});
+    return;
+  }
+  spec.id = id;
+  const std::int64_t unix_ms = WallMicros() / 1000;
+  const std::int64_t age =
+      std::clamp<std::int64_t>(unix_ms - spec.accepted_unix_ms, 0, 600000);
+  JobRecord* job =
+      jobs_.Add(std::move(spec), ports_.clock->Now() - Millis(age));
+  job->inherited = !inbox_->Loaded() && options_.term > 1;
+  const auto progress = loaded_progress_.find(id);
+  if (progress != loaded_progress_.end()) {
+    try {
+      DecodeProgress(progress->second.value, job);
+    } catch (const Error& error) {
+      LogEvent(LogLevel::kError, "progress-unreadable",
+               {{"job", id}, {"error", error.what()}});
+    }
+    recorder_->SetRevision(id, progress->second.revision);
+    job->state = JobState::kRunning;
+  }
+  OpenDueOccurrences(job, unix_ms);
+  LogEvent(LogLevel::kInfo, "job-known",
+           {{"job", id},
+            {"queue", job->spec.queue},
+            {"steps", job->spec.steps.size()},
+            {"inherited", job->inherited},
+            {"age_ms", age}});
+  ScheduleDispatch();
+}
+
+void PartitionOwner::CancelJob(const std::string& id) {
+  JobRecord* job = jobs_.Find(id);
+  if (job == nullptr || IsFinal(job->state)) return;
+  job->cancelled = true;
+  job->state = JobState::kCancelled;
+  LogEvent(LogLevel::kInfo, "job-cancelled", {{"job", id}});
+  EndJob(job);
+}
+
+void PartitionOwner::EndJob(JobRecord* job) {
+  ForEachActive(job, [this, job](const TaskId& id, TaskRecord* task) {
+    StopTask(job, id, task);
+  });
+  recorder_->Save({job->spec.id}, nullptr);
+}
+
+void PartitionOwner::DropIfFinished(const std::string& id) {
+  JobRecord* job = jobs_.Find(id);
+  if (job == nullptr || !IsFinal(job->state) || !job->final_stored) return;
+  bool active = false;
+  ForEachActive(job,
+                [&active](const TaskId&, TaskRecord*) { active = true; });
+  if (!active) jobs_.Erase(id);
+}
+
+JobImage PartitionOwner::ImageOf(const std::string& id) const {
+  const JobRecord* job = jobs_.Find(id);
+  if (job == nullptr || job->final_stored) return {.absent = true};
+  if (IsFinal(job->state)) return {.final = true, .bytes = EncodeFinal(*job)};
+  return {.bytes = EncodeProgress(*job)};
+}
+
+void PartitionOwner::ForgetOldFinals() {
+  const TimePoint limit = ports_.clock->Now() - options_.final_retention;
+  std::vector<std::string> old;
+  for (const auto& [id, record] : finals_) {
+    if (record.stored_at < limit) old.push_back(id);
+    if (old.size() + 2 >= kMaxTxnEntries) break;
+  }
+  if (old.empty()) return;
+  Txn txn;
+  txn.conditions.push_back({options_.keys.owner, options_.term_revision});
+  for (const std::string& id : old) {
+    txn.removals.push_back(options_.keys.final_prefix + id);
+    finals_.erase(id);
+  }
+  ports_.store->Commit(txn, [](const StoreAnswer& answer) {
+    if (answer.status != TxnStatus::kOk) {
+      LogEvent(LogLevel::kWarning, "finals-not-removed",
+               {{"status", NameOf(kTxnStatusNames, answer.status)}});
+    }
+  });
+}
+
+void PartitionOwner::SaveWorkers() {
+  if (!workers_loaded_ || closed_) return;
+  if (saving_workers_) {
+    workers_changed_ = true;
+    return;
+  }
+  saving_workers_ = true;
+  workers_changed_ = false;
+  Json known = Json::object();
+  std::vector<std::string> ids;
+  for (const auto& [id, worker] : workers_) {
+    known[id] = worker->link->Address().address;
+    ids.push_back(id);
+  }
+  Txn txn;
+  txn.conditions.push_back({options_.keys.owner, options_.term_revision});
+  txn.writes.push_back({.key = options_.keys.workers, .value = known.dump()});
+  ports_.store->Commit(
+      txn, [self = shared_from_this(), ids](const StoreAnswer& answer) {
+        if (self->closed_) return;
+        if (answer.status == TxnStatus::kConflict) {
+          self->listener_.on_deposed();
+          return;
+        }
+        const bool stored = answer.status == TxnStatus::kOk;
+        self->ports_.timers->After(
+            stored ? Millis(0) : kLoadRetryDelay, [self, stored] {
+              self->saving_workers_ = false;
+              if (!stored || self->workers_changed_) self->SaveWorkers();
+            });
+        if (!stored) return;
+        for (const std::string& id : ids) {
+          WorkerState* worker = self->FindWorker(id);
+          if (worker != nullptr) worker->recorded = true;
+        }
+        self->ScheduleDispatch();
+      });
+}
+
+std::optional<ShownJob> PartitionOwner::Find(const std::string& id) const {
+  const auto final = finals_.find(id);
+  if (final != finals_.end()) return final->second.shown;
+  const JobRecord* job = jobs_.Find(id);
+  if (job == nullptr) return std::nullopt;
+  ShownJob shown{.state = job->state, .queue = job->spec.queue};
+  // A final state is shown once it is durable; a cancellation already is.
+  if (IsFinal(shown.state) && !job->cancelled) {
+    shown.state = JobState::kRunning;
+  }
+  return shown;
+}
+
+int PartitionOwner::Pending(const std::string& queue) const {
+  int pending = 0;
+  for (const auto& [id, job] : const_cast<JobTable&>(jobs_).All()) {
+    if (job->spec.queue == queue && job->state == JobState::kQueued) ++pending;
+  }
+  return pending;
+}
+
+void PartitionOwner::SetCatalog(std::shared_ptr<const Catalog> catalog) {
+  catalog_ = std::move(catalog);
+  ScheduleDispatch();
+}
+
+void PartitionOwner::NoteEarlierOwnerStopped() {
+  const Millis lease_bound =
+      LeaseSurelyEnded(began_at_, 0, options_.task_lease.count()) - began_at_;
+  doubt_until_ = std::min(doubt_until_, ports_.clock->Now() + lease_bound);
+}
+
+}  // namespace basilusher
--- /dev/null
+++ b/lib/Partition/OwnerWorkers.cc
@@ -0,0 +1,365 @@
+// What workers list: runs to adopt, ends to record, runs that vanished.
+#include <algorithm>
+
+#include "basilusher/Partition/PartitionOwner.h"
+#include "basilusher/Support/Log.h"
+
+namespace basilusher {
+namespace {
+
+/// Fencing tokens of one owner at one worker stay below this number.
+constexpr std::int64_t kFencesPerTerm = 1000000;
+/// An order to stop is repeated if the run is still listed after this.
+constexpr Millis kStopAgain{600};
+/// After a failed run its task waits a little, so that a worker that fails
+/// everything cannot spend all attempts at once.
+constexpr Millis kRetryAfterFailure{30};
+
+}  // namespace
+
+PartitionOwner::WorkerState* PartitionOwner::FindWorker(
+    const std::string& id) {
+  const auto it = workers_.find(id);
+  return it == workers_.end() ? nullptr : it->second.get();
+}
+
+PartitionOwner::WorkerState* PartitionOwner::AddWorker(
+    const std::string& id, const std::string& address) {
+  std::unique_ptr<WorkerState>& slot = workers_[id];
+  if (slot != nullptr) return slot.get();
+  slot = std::make_unique<WorkerState>();
+  slot->slot.id = id;
+  slot->entry.id = id;
+  slot->link = std::make_shared<WorkerLink>(
+      ports_.workers, ports_.timers, ports_.clock,
+      WorkerAddress{.id = id, .address = address},
+      WorkerLinkOptions{.first_fence = options_.term * kFencesPerTerm,
+                        .lease = options_.task_lease},
+      WorkerLink::Listener{
+          .on_lists =
+              [this, id](const HoldAnswer& answer, TimePoint sent_at,
+                         bool settled) {
+                OnLists(id, answer, sent_at, settled);
+              },
+          .on_lost =
+              [this, id](const char* reason) { OnWorkerLost(id, reason); },
+          .on_fenced = [this] { listener_.on_deposed(); }});
+  // Lists can be matched only once the jobs are known.
+  if (loaded_) slot->link->Begin();
+  return slot.get();
+}
+
+void PartitionOwner::DropWorker(const std::string& id) {
+  WorkerState* worker = FindWorker(id);
+  if (worker == nullptr || !worker->tasks.empty()) return;
+  worker->link->Close();
+  unread_workers_.erase(id);
+  // The link may be on the call stack: let it unwind first.
+  ports_.timers->After(Millis(0), [self = shared_from_this(), id] {
+    const auto it = self->workers_.find(id);
+    if (it != self->workers_.end() && !it->second->listed) {
+      self->workers_.erase(it);
+      self->SaveWorkers();
+    }
+  });
+}
+
+void PartitionOwner::OnDirectory(const StoredItem& item) {
+  const std::optional<WorkerEntry> entry =
+      item.removed ? std::nullopt
+                   : ports_.formats->DecodeWorker(item.key, item.value);
+  const std::string id =
+      item.key.substr(ports_.formats->WorkerPrefix().size());
+  if (!entry) {
+    WorkerState* worker = FindWorker(id);
+    if (worker == nullptr || !worker->listed) return;
+    worker->listed = false;
+    LogEvent(LogLevel::kInfo, "worker-unlisted",
+             {{"worker", id}, {"tasks", worker->tasks.size()}});
+    // Tasks of a worker that still answers go on; it gets no new ones.
+    if (worker->tasks.empty()) DropWorker(id);
+    return;
+  }
+  WorkerState* worker = FindWorker(id);
+  if (worker != nullptr &&
+      worker->link->Address().address != entry->address) {
+    // The worker has moved; what ran under the old address is another life.
+    OnWorkerLost(id, "listed at another address");
+    worker->link->Close();
+    workers_.erase(id);
+    worker = nullptr;
+  }
+  const bool added = worker == nullptr;
+  if (added) worker = AddWorker(id, entry->address);
+  if (entry->draining != worker->entry.draining || added) {
+    LogEvent(LogLevel::kInfo, "worker-listed",
+             {{"worker", id},
+              {"pool", entry->pool},
+              {"draining", entry->draining},
+              {"remaining_ms", entry->remaining_ms}});
+  }
+  worker->entry = *entry;
+  worker->listed = true;
+  worker->slot.pool = entry->pool;
+  worker->slot.rack = entry->rack;
+  worker->slot.labels = entry->labels;
+  worker->slot.room = entry->room;
+  worker->link->NoteLife(entry->born_unix_ms);
+  if (added && loaded_) SaveWorkers();
+  ScheduleDispatch();
+}
+
+void PartitionOwner::Reserve(WorkerState* worker, JobRecord* job,
+                             const TaskId& id) {
+  const StepSpec& step = job->spec.steps[static_cast<std::size_t>(id.step)];
+  if (!worker->tasks.insert(id).second) return;
+  worker->slot.used += Charge(step);
+  ++worker->slot.tasks;
+  if (step.target_ms > 0) ++worker->slot.serving;
+  if (step.filler) ++worker->slot.fillers;
+  workspace_used_[job->spec.workspace] += step.need;
+}
+
+void PartitionOwner::Release(WorkerState* worker, JobRecord* job,
+                             const TaskId& id) {
+  const StepSpec& step = job->spec.steps[static_cast<std::size_t>(id.step)];
+  if (worker->tasks.erase(id) == 0) return;
+  worker->slot.used -= Charge(step);
+  --worker->slot.tasks;
+  if (step.target_ms > 0) --worker->slot.serving;
+  if (step.filler) --worker->slot.fillers;
+  workspace_used_[job->spec.workspace] -= step.need;
+  if (worker->tasks.empty() && !worker->listed) DropWorker(worker->slot.id);
+}
+
+void PartitionOwner::ReturnToQueue(JobRecord* job, const TaskId& id) {
+  TaskRecord* task = jobs_.FindTask(id);
+  if (task == nullptr) return;
+  WorkerState* worker = FindWorker(task->worker);
+  Requeue(job, id);
+  if (worker != nullptr) Release(worker, job, id);
+}
+
+void PartitionOwner::StopTask(JobRecord* job, const TaskId& id,
+                              TaskRecord* task) {
+  WorkerState* worker = FindWorker(task->worker);
+  if (worker == nullptr) {
+    Requeue(job, id);
+    return;
+  }
+  task->state = TaskState::kStopping;
+  task->sent_at = ports_.clock->Now();
+  worker->link->Stop(id, task->run);
+}
+
+void PartitionOwner::OnLists(const std::string& id, const HoldAnswer& answer,
+                             TimePoint sent_at, bool settled) {
+  WorkerState* worker = FindWorker(id);
+  if (worker == nullptr) return;
+  std::set<std::string> changed;
+  worker->strangers_listed = 0;
+  for (const EndedTask& end : answer.ended) OnEnded(worker, end, &changed);
+  for (const RunningTask& running : answer.running) OnRunning(worker, running);
+  FindVanished(worker, answer, sent_at, settled);
+  if (worker->strangers_listed == 0) worker->strangers.clear();
+  unread_workers_.erase(id);
+  if (!answer.ended.empty()) {
+    std::int64_t last = 0;
+    for (const EndedTask& end : answer.ended) {
+      last = std::max(last, end.number);
+    }
+    recorder_->Save(
+        std::vector<std::string>(changed.begin(), changed.end()),
+        [self = shared_from_this(), link = worker->link, last] {
+          if (!self->closed_) link->Acknowledge(last);
+        });
+  }
+  ScheduleDispatch();
+}
+
+void PartitionOwner::OnRunning(WorkerState* worker,
+                               const RunningTask& running) {
+  JobRecord* job = jobs_.Find(running.task.job);
+  TaskRecord* task = jobs_.FindTask(running.task);
+  const bool wanted = job != nullptr && task != nullptr &&
+                      !IsFinal(job->state) && task->state != TaskState::kDone;
+  if (task != nullptr && task->worker == worker->slot.id &&
+      task->run == running.run) {
+    if (task->state == TaskState::kStopping &&
+        ports_.clock->Now() - task->sent_at > kStopAgain) {
+      StopTask(job, running.task, task);
+    }
+    if (task->state == TaskState::kStarting) {
+      task->state = TaskState::kRunning;
+      task->started_at = ports_.clock->Now();
+      if (job->state == JobState::kQueued) job->state = JobState::kRunning;
+    }
+    task->checkpoint = running.checkpoint;
+    task->percent = running.percent;
+    task->load_figure = running.load_figure;
+    return;
+  }
+  if (wanted && task->state == TaskState::kWaiting &&
+      running.run > task->counted_run) {
+    AdoptRun(job, running.task, worker->slot.id, running, ports_.clock->Now());
+    Reserve(worker, job, running.task);
+    LogEvent(LogLevel::kInfo, "run-adopted",
+             {{"task", FormatTaskId(running.task)},
+              {"run", running.run},
+              {"worker", worker->slot.id}});
+    return;
+  }
+  StopStranger(worker, running.task, running.run);
+}
+
+void PartitionOwner::StopStranger(WorkerState* worker, const TaskId& task,
+                                  std::int64_t run) {
+  ++worker->strangers_listed;
+  TimePoint& told = worker->strangers[{task, run}];
+  const TimePoint now = ports_.clock->Now();
+  if (told != TimePoint{} && now - told < kStopAgain) return;
+  told = now;
+  LogEvent(LogLevel::kInfo, "run-unwanted",
+           {{"task", FormatTaskId(task)},
+            {"run", run},
+            {"worker", worker->slot.id}});
+  worker->link->Stop(task, run);
+}
+
+void PartitionOwner::OnEnded(WorkerState* worker, const EndedTask& end,
+                             std::set<std::string>* changed) {
+  JobRecord* job = jobs_.Find(end.task.job);
+  if (job == nullptr) return;
+  TaskRecord* task = jobs_.FindTask(end.task);
+  if (task == nullptr) {
+    // Its occurrence is done.
+    return;
+  }
+  const std::string& id = worker->slot.id;
+  const bool current = task->worker == id && task->run == end.run;
+  const TimePoint now = ports_.clock->Now();
+  if (IsFinal(job->state)) {
+    if (current) ReturnToQueue(job, end.task);
+    DropIfFinished(end.task.job);
+    return;
+  }
+  const StepSpec& step =
+      job->spec.steps[static_cast<std::size_t>(end.task.step)];
+  const QueueConfig* queue = QueueOf(*job);
+  if (current && end.kind == EndKind::kDone && step.estimate_ms > 0 &&
+      task->started_at != TimePoint{}) {
+    durations_[job->spec.queue].Learn(
+        static_cast<double>((now - task->started_at).count()),
+        static_cast<double>(step.estimate_ms));
+  }
+  const std::string holder_id = task->worker;
+  const std::int64_t held_run = task->run;
+  const bool gang = step.gang;
+  const int attempts =
+      queue == nullptr ? 1 : std::max(1, queue->max_attempts);
+  const EndEffect effect = ApplyEnd(job, end, id, attempts);
+  if (effect == EndEffect::kIgnored) return;
+  task = jobs_.FindTask(end.task);
+  LogEvent(LogLevel::kInfo, "run-ended",
+           {{"task", FormatTaskId(end.task)},
+            {"run", end.run},
+            {"worker", id},
+            {"how", NameOf(kEndKindNames, end.kind)},
+            {"failures", task == nullptr ? 0 : task->failures}});
+  if (task != nullptr && current) {
+    task->started_at = TimePoint{};
+    if (end.kind == EndKind::kFailed) {
+      task->not_before = now + kRetryAfterFailure;
+    }
+  }
+  const bool done =
+      effect == EndEffect::kTaskDone || effect == EndEffect::kJobDone;
+  WorkerState* holder = FindWorker(holder_id);
+  if (holder != nullptr && (current || done)) Release(holder, job, end.task);
+  if (holder != nullptr && done && !current) {
+    // Another run of the task is still there.
+    StopStranger(holder, end.task, held_run);
+  }
+  if (gang && done) ReleaseGang(job, end.task);
+  changed->insert(end.task.job);
+  if (effect == EndEffect::kJobDone || effect == EndEffect::kJobFailed) {
+    LogEvent(LogLevel::kInfo, "job-ended",
+             {{"job", job->spec.id},
+              {"queue", job->spec.queue},
+              {"state", NameOf(kJobStateNames, job->state)},
+              {"age_ms", (now - job->accepted_at).count()}});
+    EndJob(job);
+  }
+}
+
+void PartitionOwner::ReleaseGang(JobRecord* job, const TaskId& id) {
+  for (const auto& [worker_id, worker] : workers_) {
+    std::vector<TaskId> members;
+    for (const TaskId& member : worker->tasks) {
+      if (member.job == id.job && member.occurrence == id.occurrence &&
+          member.step == id.step) {
+        members.push_back(member);
+      }
+    }
+    for (const TaskId& member : members) Release(worker.get(), job, member);
+  }
+}
+
+void PartitionOwner::FindVanished(WorkerState* worker,
+                                  const HoldAnswer& answer, TimePoint sent_at,
+                                  bool settled) {
+  std::vector<TaskId> vanished;
+  for (const TaskId& id : worker->tasks) {
+    TaskRecord* task = jobs_.FindTask(id);
+    if (task == nullptr) continue;
+    const bool listed = std::any_of(
+        answer.running.begin(), answer.running.end(),
+        [&](const RunningTask& running) {
+          return running.run == task->run && running.task == id;
+        });
+    if (listed) continue;
+    const bool starting = task->state == TaskState::kStarting;
+    // A start without an answer is settled only by lists under a later token.
+    const bool over = starting ? settled && task->sent_at < sent_at &&
+                                     task->in_doubt
+                               : task->sent_at < sent_at &&
+                                     task->started_at < sent_at;
+    if (over) vanished.push_back(id);
+  }
+  for (const TaskId& id : vanished) {
+    JobRecord* job = jobs_.Find(id.job);
+    TaskRecord* task = jobs_.FindTask(id);
+    LogEvent(LogLevel::kInfo, "run-vanished",
+             {{"task", FormatTaskId(id)},
+              {"run", task->run},
+              {"worker", worker->slot.id}});
+    task->in_doubt = false;
+    ReturnToQueue(job, id);
+    if (IsFinal(job->state)) DropIfFinished(id.job);
+  }
+}
+
+void PartitionOwner::OnWorkerLost(const std::string& id, const char* reason) {
+  WorkerState* worker = FindWorker(id);
+  if (worker == nullptr) return;
+  LogEvent(LogLevel::kWarning, "worker-lost",
+           {{"worker", id},
+            {"reason", reason},
+            {"tasks", worker->tasks.size()}});
+  const std::set<TaskId> tasks = worker->tasks;
+  for (const TaskId& task_id : tasks) {
+    JobRecord* job = jobs_.Find(task_id.job);
+    if (job == nullptr) continue;
+    TaskRecord* task = jobs_.FindTask(task_id);
+    if (task != nullptr) task->in_doubt = false;
+    ReturnToQueue(job, task_id);
+    if (IsFinal(job->state)) DropIfFinished(task_id.job);
+  }
+  worker->strangers.clear();
+  worker->strangers_listed = 0;
+  unread_workers_.erase(id);
+  if (!worker->listed) DropWorker(id);
+  ScheduleDispatch();
+}
+
+}  // namespace basilusher
--- /dev/null
+++ b/lib/Partition/Recorder.cc
@@ -0,0 +1,199 @@
+// Group commit.
+#include "basilusher/Partition/Recorder.h"
+
+#include <algorithm>
+
+#include "basilusher/Support/Log.h"
+
+namespace basilusher {
+namespace {
+
+/// Transactions under way at a time.
+constexpr int kMaxInFlight = 3;
+/// Between tries while the store refuses or is silent.
+constexpr Millis kRetryDelay{100};
+/// Rows of one job that ends: condition, final record, and removals.
+constexpr std::size_t kMaxRowsPerJob = 6;
+
+}  // namespace
+
+Recorder::Recorder(TransactionalStore* store, TimerService* timers,
+                   RecorderKeys keys, Listener listener)
+    : store_(store),
+      timers_(timers),
+      keys_(std::move(keys)),
+      listener_(std::move(listener)) {}
+
+void Recorder::SetRevision(const std::string& job, std::int64_t revision) {
+  revisions_[job] = revision;
+}
+
+void Recorder::Save(const std::vector<std::string>& jobs,
+                    std::function<void()> durable) {
+  const std::shared_ptr<Pending> pending = std::make_shared<Pending>();
+  pending->left = jobs.size();
+  pending->durable = std::move(durable);
+  if (jobs.empty()) {
+    if (pending->durable) pending->durable();
+    return;
+  }
+  for (const std::string& job : jobs) {
+    const auto [it, added] = dirty_.try_emplace(job);
+    if (added) order_.push_back(job);
+    it->second.push_back(pending);
+  }
+  Pump();
+}
+
+void Recorder::Pump() {
+  while (!closed_ && in_flight_ < kMaxInFlight && !order_.empty()) {
+    const std::shared_ptr<Batch> batch = std::make_shared<Batch>();
+    std::size_t rows = 1;
+    std::deque<std::string> later;
+    while (!order_.empty() && rows + kMaxRowsPerJob <= kMaxTxnEntries) {
+      std::string job = std::move(order_.front());
+      order_.pop_front();
+      if (writing_.contains(job)) {
+        later.push_back(std::move(job));
+        continue;
+      }
+      Row row{.job = job, .image = listener_.image(job), .waiters = {}};
+      const auto it = dirty_.find(job);
+      row.waiters = std::move(it->second);
+      dirty_.erase(it);
+      if (row.image.absent) {
+        FinishRow(&row);
+        continue;
+      }
+      rows += row.image.final ? 2 + keys_.removed_prefixes.size() + 1 : 2;
+      writing_.emplace(job, true);
+      batch->push_back(std::move(row));
+    }
+    order_.insert(order_.begin(), later.begin(), later.end());
+    if (batch->empty()) return;
+    ++in_flight_;
+    Send(batch, MakeTxn(*batch));
+  }
+}
+
+Txn Recorder::MakeTxn(const Batch& batch) const {
+  Txn txn;
+  txn.conditions.push_back({keys_.term_key, keys_.term_revision});
+  for (const Row& row : batch) {
+    const auto it = revisions_.find(row.job);
+    const std::int64_t revision = it == revisions_.end() ? 0 : it->second;
+    const std::string progress = keys_.progress_prefix + row.job;
+    txn.conditions.push_back({progress, revision});
+    if (!row.image.final) {
+      txn.writes.push_back({.key = progress, .value = row.image.bytes});
+      continue;
+    }
+    txn.writes.push_back(
+        {.key = keys_.final_prefix + row.job, .value = row.image.bytes});
+    if (revision != 0) txn.removals.push_back(progress);
+    for (const std::string& prefix : keys_.removed_prefixes) {
+      txn.removals.push_back(prefix + row.job);
+    }
+  }
+  return txn;
+}
+
+void Recorder::Send(std::shared_ptr<Batch> batch, Txn txn) {
+  const std::shared_ptr<Recorder> self = shared_from_this();
+  store_->Commit(txn, [self, batch, txn](const StoreAnswer& answer) {
+    if (!self->closed_) self->OnAnswer(batch, txn, answer);
+  });
+}
+
+void Recorder::OnAnswer(const std::shared_ptr<Batch>& batch, const Txn& txn,
+                        const StoreAnswer& answer) {
+  switch (answer.status) {
+    case TxnStatus::kOk:
+      --in_flight_;
+      OnStored(*batch, answer.revision);
+      Pump();
+      return;
+    case TxnStatus::kConflict:
+      OnConflict(batch, answer);
+      return;
+    default:
+      // The same bytes under the same conditions: safe to send again, whether
+      // or not the first try was done.
+      timers_->After(kRetryDelay, [self = shared_from_this(), batch, txn] {
+        if (!self->closed_) self->Send(batch, txn);
+      });
+      return;
+  }
+}
+
+void Recorder::FinishRow(Row* row) {
+  for (const std::shared_ptr<Pending>& pending : row->waiters) {
+    if (--pending->left == 0 && pending->durable) pending->durable();
+  }
+  row->waiters.clear();
+}
+
+void Recorder::OnStored(const Batch& batch, std::int64_t revision) {
+  Batch rows = batch;
+  for (Row& row : rows) {
+    writing_.erase(row.job);
+    if (row.image.final) {
+      revisions_.erase(row.job);
+      listener_.on_final(row.job);
+    } else {
+      revisions_[row.job] = revision;
+    }
+  }
+  for (Row& row : rows) FinishRow(&row);
+}
+
+void Recorder::OnConflict(const std::shared_ptr<Batch>& batch,
+                          const StoreAnswer& answer) {
+  std::map<std::string, StoredItem> current;
+  for (const StoredItem& item : answer.items) current[item.key] = item;
+  if (current[keys_.term_key].revision != keys_.term_revision) {
+    LogEvent(LogLevel::kWarning, "owner-deposed",
+             {{"term_revision", keys_.term_revision},
+              {"found", current[keys_.term_key].revision}});
+    closed_ = true;
+    listener_.on_deposed();
+    return;
+  }
+  // An earlier try of this batch was done and its answer lost, or a record has
+  // moved: take the revisions over and write the rows again.
+  --in_flight_;
+  bool mine = true;
+  for (const Row& row : *batch) {
+    const StoredItem& item = current[keys_.progress_prefix + row.job];
+    const bool same = row.image.final
+                          ? item.revision == 0 && revisions_.contains(row.job)
+                          : item.value == row.image.bytes;
+    mine = mine && same;
+  }
+  if (mine) {
+    std::int64_t revision = 0;
+    for (const Row& row : *batch) {
+      const StoredItem& item = current[keys_.progress_prefix + row.job];
+      revision = std::max(revision, item.revision);
+    }
+    OnStored(*batch, revision);
+    Pump();
+    return;
+  }
+  for (Row& row : *batch) {
+    const StoredItem& item = current[keys_.progress_prefix + row.job];
+    writing_.erase(row.job);
+    if (item.revision == 0) {
+      revisions_.erase(row.job);
+    } else {
+      revisions_[row.job] = item.revision;
+    }
+    const auto [it, added] = dirty_.try_emplace(row.job);
+    if (added) order_.push_back(row.job);
+    it->second.insert(it->second.end(), row.waiters.begin(),
+                      row.waiters.end());
+  }
+  Pump();
+}
+
+}  // namespace basilusher
--- /dev/null
+++ b/lib/Partition/WorkerLink.cc
@@ -0,0 +1,269 @@
+// Looks, orders and leases of one worker.
+#include "basilusher/Partition/WorkerLink.h"
+
+#include <algorithm>
+
+namespace basilusher {
+namespace {
+
+/// A worker's clock may be this slow, so its leases last that much longer.
+constexpr std::int64_t kClockDriftPerMille = 20;
+/// Rounding and scheduling on both sides.
+constexpr Millis kLeaseMargin{50};
+/// Between a failed look and the next one.
+constexpr Millis kRetryDelay{150};
+constexpr Millis kSlowRetryDelay{400};
+constexpr int kQuickRetries = 3;
+/// Failed looks after which a worker gets no new work.
+constexpr int kSilentAfter = 2;
+/// Looks repeat at this pace while ends wait for the store.
+constexpr Millis kUnstoredEndDelay{250};
+/// A look that was only meant to read the clock is followed at once.
+constexpr Millis kSettleWait{0};
+
+}  // namespace
+
+TimePoint LeaseSurelyEnded(TimePoint read_at, std::int64_t worker_clock_ms,
+                           std::int64_t lease_worker_ms) {
+  const std::int64_t left =
+      std::max<std::int64_t>(0, lease_worker_ms - worker_clock_ms);
+  return read_at + Millis(left * 1000 / (1000 - kClockDriftPerMille) + 1) +
+         kLeaseMargin;
+}
+
+WorkerLink::WorkerLink(WorkerGateway* gateway, TimerService* timers,
+                       const Clock* clock, WorkerAddress address,
+                       WorkerLinkOptions options, Listener listener)
+    : gateway_(gateway),
+      timers_(timers),
+      clock_(clock),
+      address_(std::move(address)),
+      options_(options),
+      listener_(std::move(listener)),
+      fence_(options.first_fence),
+      last_answer_(clock->Now()) {}
+
+void WorkerLink::Begin() { Look(kSettleWait); }
+
+void WorkerLink::Close() { closed_ = true; }
+
+void WorkerLink::NoteLife(std::int64_t born_unix_ms) {
+  if (born_unix_ms <= born_unix_ms_) return;
+  if (born_unix_ms_ == 0) {
+    born_unix_ms_ = born_unix_ms;
+    return;
+  }
+  BeginLife(born_unix_ms, "directory shows a new life");
+  Look(kSettleWait);
+}
+
+std::int64_t WorkerLink::LeaseDeadline() {
+  if (!clock_known_ || !renewing_) return 0;
+  const std::int64_t elapsed = (clock_->Now() - worker_clock_at_).count();
+  const std::int64_t deadline =
+      worker_clock_ms_ + elapsed + options_.lease.count();
+  max_lease_worker_ms_ = std::max(max_lease_worker_ms_, deadline);
+  lease_end_ = std::max(
+      lease_end_,
+      LeaseSurelyEnded(worker_clock_at_, worker_clock_ms_, deadline));
+  WatchLease();
+  return deadline;
+}
+
+void WorkerLink::WatchLease() {
+  if (lease_watched_) return;
+  lease_watched_ = true;
+  const Millis delay = std::max(Millis(1), lease_end_ - clock_->Now());
+  timers_->After(delay, [self = shared_from_this()] {
+    self->lease_watched_ = false;
+    if (self->closed_ || self->lease_end_ == TimePoint{}) return;
+    if (self->clock_->Now() < self->lease_end_) return self->WatchLease();
+    self->lease_end_ = TimePoint{};
+    self->synced_ = false;
+    self->listener_.on_lost("leases have run out");
+  });
+}
+
+void WorkerLink::Look(Millis wait) {
+  if (closed_) return;
+  look_in_flight_ = true;
+  ++look_number_;
+  const TimePoint sent_at = clock_->Now();
+  const std::int64_t fence = fence_;
+  const HoldOrder order = {.fence = fence,
+                           .seen_up_to = acknowledged_,
+                           .lease_worker_ms = LeaseDeadline(),
+                           .wait = wait};
+  gateway_->Hold(address_, order,
+                 [self = shared_from_this(), sent_at, fence,
+                  number = look_number_](const HoldAnswer& answer) {
+                   if (self->closed_) return;
+                   if (number == self->look_number_) {
+                     self->look_in_flight_ = false;
+                   }
+                   self->OnAnswer(answer, sent_at, fence);
+                 });
+}
+
+void WorkerLink::LookLater(Millis delay) {
+  if (look_planned_ || closed_) return;
+  look_planned_ = true;
+  timers_->After(delay, [self = shared_from_this()] {
+    self->look_planned_ = false;
+    if (self->closed_ || self->look_in_flight_) return;
+    self->Look(self->synced_ && !self->settling_ &&
+                       self->acknowledged_ == self->last_end_
+                   ? self->options_.look_wait
+                   : kSettleWait);
+  });
+}
+
+void WorkerLink::OnAnswer(const HoldAnswer& answer, TimePoint sent_at,
+                          std::int64_t fence) {
+  switch (answer.result) {
+    case OrderResult::kDone:
+      break;
+    case OrderResult::kOtherWorker:
+      if (synced_ || lease_end_ != TimePoint{}) {
+        lease_end_ = TimePoint{};
+        synced_ = false;
+        listener_.on_lost("another worker answers at its address");
+      }
+      OnSilence();
+      return;
+    case OrderResult::kFenced:
+      // An own later token overtook this look; a foreign one is a new owner's.
+      if (fence == fence_) {
+        listener_.on_fenced();
+        LookLater(kSlowRetryDelay);
+      } else if (!look_in_flight_) {
+        Look(kSettleWait);
+      }
+      return;
+    default:
+      OnSilence();
+      return;
+  }
+  last_answer_ = clock_->Now();
+  unanswered_ = 0;
+  silent_ = false;
+  if (answer.born_unix_ms > born_unix_ms_ && born_unix_ms_ != 0) {
+    BeginLife(answer.born_unix_ms, "a new life answers");
+    Look(kSettleWait);
+    return;
+  }
+  if (answer.born_unix_ms != 0) {
+    if (answer.born_unix_ms < born_unix_ms_) return;  // of an earlier life
+    born_unix_ms_ = answer.born_unix_ms;
+  }
+  worker_clock_ms_ = answer.worker_clock_ms;
+  worker_clock_at_ = last_answer_;
+  clock_known_ = true;
+  const bool settled = fence == fence_;
+  const bool first = !synced_;
+  HoldAnswer fresh = answer;
+  std::erase_if(fresh.ended, [this](const EndedTask& end) {
+    return end.number <= last_end_;
+  });
+  for (const EndedTask& end : fresh.ended) {
+    last_end_ = std::max(last_end_, end.number);
+  }
+  if (settled) settling_ = false;
+  synced_ = true;
+  const bool has_new_ends = !fresh.ended.empty();
+  listener_.on_lists(fresh, sent_at, settled);
+  if (closed_) return;
+  if (first) {
+    // The clock is known now: give what runs there its lease without a wait.
+    if (!look_in_flight_) Look(kSettleWait);
+    return;
+  }
+  ScheduleNextLook(has_new_ends);
+}
+
+void WorkerLink::ScheduleNextLook(bool has_new_ends) {
+  if (look_in_flight_) return;
+  if (settling_) return Look(kSettleWait);
+  if (acknowledged_ < last_end_) {
+    // Acknowledge() looks again as soon as the new ends are durable.
+    LookLater(kUnstoredEndDelay);
+    return;
+  }
+  if (has_new_ends) return;
+  Look(options_.look_wait);
+}
+
+void WorkerLink::OnSilence() {
+  ++unanswered_;
+  if (unanswered_ >= kSilentAfter) silent_ = true;
+  LookLater(unanswered_ <= kQuickRetries ? kRetryDelay : kSlowRetryDelay);
+}
+
+void WorkerLink::BeginLife(std::int64_t born_unix_ms, const char* reason) {
+  born_unix_ms_ = born_unix_ms;
+  ++fence_;
+  last_end_ = 0;
+  acknowledged_ = 0;
+  clock_known_ = false;
+  max_lease_worker_ms_ = 0;
+  lease_end_ = TimePoint{};
+  synced_ = false;
+  settling_ = false;
+  listener_.on_lost(reason);
+}
+
+void WorkerLink::BeginSettling() {
+  ++fence_;
+  settling_ = true;
+  if (!closed_) Look(kSettleWait);
+}
+
+void WorkerLink::OnOrder(OrderResult result, std::int64_t fence) {
+  if (closed_) return;
+  if (result == OrderResult::kUnknown && fence == fence_) BeginSettling();
+  if (result == OrderResult::kFenced && fence == fence_) listener_.on_fenced();
+  if (result == OrderResult::kOtherWorker) {
+    lease_end_ = TimePoint{};
+    synced_ = false;
+    listener_.on_lost("another worker answers at its address");
+    LookLater(kRetryDelay);
+  }
+}
+
+void WorkerLink::Start(StartOrder order,
+                       std::function<void(OrderResult)> done) {
+  order.fence = fence_;
+  order.lease_worker_ms = LeaseDeadline();
+  gateway_->Start(address_, order,
+                  [self = shared_from_this(), fence = fence_,
+                   done = std::move(done)](OrderResult result) {
+                    if (self->closed_) return;
+                    done(result);
+                    self->OnOrder(result, fence);
+                  });
+}
+
+void WorkerLink::Stop(const TaskId& task, std::int64_t run) {
+  gateway_->Stop(address_, task, run, fence_,
+                 [self = shared_from_this(), fence = fence_](
+                     OrderResult result) { self->OnOrder(result, fence); });
+}
+
+void WorkerLink::Pace(const TaskId& task, std::int64_t run, int percent,
+                      std::function<void(OrderResult)> done) {
+  gateway_->Pace(address_, task, run, percent, fence_,
+                 [self = shared_from_this(), fence = fence_,
+                  done = std::move(done)](OrderResult result) {
+                   if (self->closed_) return;
+                   done(result);
+                   self->OnOrder(result, fence);
+                 });
+}
+
+void WorkerLink::Acknowledge(std::int64_t number) {
+  acknowledged_ = std::max(acknowledged_, number);
+  if (closed_ || look_in_flight_ || acknowledged_ < last_end_) return;
+  Look(options_.look_wait);
+}
+
+}  // namespace basilusher
--- /dev/null
+++ b/lib/Schedule/Placement.cc
@@ -0,0 +1,80 @@
+// Scores of workers for a task.
+#include "basilusher/Schedule/Placement.h"
+
+#include <algorithm>
+
+namespace basilusher {
+namespace {
+
+// Weights of what speaks against a worker. Each outweighs all below it
+// together: the last ones are shares between 0 and 1.
+constexpr double kFailedThere = 1000.0;
+constexpr double kStrike = 100.0;
+constexpr double kFarFromData = 50.0;
+constexpr double kDisturbs = 20.0;
+constexpr double kSibling = 2.0;
+constexpr double kFreeShare = 1.0;
+
+double FreeShare(const WorkerSlot& worker) {
+  if (worker.room.cpu_millis <= 0) return 1.0;
+  return static_cast<double>(worker.room.cpu_millis -
+                             worker.used.cpu_millis) /
+         static_cast<double>(worker.room.cpu_millis);
+}
+
+double Cost(const PlacementRequest& request, const WorkerSlot& worker) {
+  const StepSpec& step = *request.step;
+  double cost = FreeShare(worker) * kFreeShare;
+  if (!request.avoid.empty() && worker.id == request.avoid) {
+    cost += kFailedThere;
+  }
+  cost += worker.strikes * kStrike;
+  const std::string& rack =
+      step.preferred_rack.empty() ? request.rack : step.preferred_rack;
+  if (!rack.empty() && worker.rack != rack) cost += kFarFromData;
+  // Fillers disturb tasks that serve; keep the two apart while room lasts.
+  if (step.filler) cost += worker.serving * kDisturbs;
+  if (step.target_ms > 0) cost += worker.fillers * kDisturbs;
+  if (step.lasting && request.siblings) {
+    cost += request.siblings(worker) * kSibling;
+  }
+  return cost;
+}
+
+}  // namespace
+
+Resources Charge(const StepSpec& step) {
+  Resources charge = step.need;
+  if (step.filler) charge.cpu_millis = 0;
+  return charge;
+}
+
+bool CanPlace(const PlacementRequest& request, const WorkerSlot& worker) {
+  const StepSpec& step = *request.step;
+  if (!Fits(Charge(step), worker.room - worker.used)) return false;
+  if (!step.required_label.empty() &&
+      std::find(worker.labels.begin(), worker.labels.end(),
+                step.required_label) == worker.labels.end()) {
+    return false;
+  }
+  if (request.allowed && !request.allowed(worker)) return false;
+  return step.max_per_worker <= 0 || !request.siblings ||
+         request.siblings(worker) < step.max_per_worker;
+}
+
+WorkerSlot* ChooseWorker(const PlacementRequest& request,
+                         const std::vector<WorkerSlot*>& workers) {
+  WorkerSlot* best = nullptr;
+  double best_cost = 0;
+  for (WorkerSlot* worker : workers) {
+    if (!CanPlace(request, *worker)) continue;
+    const double cost = Cost(request, *worker);
+    if (best == nullptr || cost < best_cost) {
+      best = worker;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+}  // namespace basilusher
--- /dev/null
+++ b/lib/Schedule/Urgency.cc
@@ -0,0 +1,74 @@
+// Ranks of jobs.
+#include "basilusher/Schedule/Urgency.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace basilusher {
+namespace {
+
+/// Weight of the newest observation.
+constexpr double kLearningRate = 0.05;
+constexpr double kMinRatio = 0.2;
+constexpr double kMaxRatio = 5.0;
+/// A job later than this many objectives earns nothing.
+constexpr double kLateFactor = 3.0;
+/// Assumed for steps that declare no duration.
+constexpr double kUnknownStepMs = 1000.0;
+
+}  // namespace
+
+void DurationEstimate::Learn(double actual_ms, double estimated_ms) {
+  const double observed =
+      std::clamp(actual_ms / estimated_ms, kMinRatio, kMaxRatio);
+  ratio += (observed - ratio) * kLearningRate;
+}
+
+std::int64_t ChainMs(const JobSpec& spec, const OccurrenceRecord* occurrence,
+                     double ratio) {
+  std::vector<double> finish(spec.steps.size());
+  double longest = 0;
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    const StepSpec& step = spec.steps[i];
+    double begin = 0;
+    for (const int earlier : step.after) {
+      begin = std::max(begin, finish[static_cast<std::size_t>(earlier)]);
+    }
+    const bool done =
+        occurrence != nullptr &&
+        occurrence->steps[i].done ==
+            static_cast<int>(occurrence->steps[i].tasks.size());
+    const double estimate = step.estimate_ms > 0
+                                ? static_cast<double>(step.estimate_ms)
+                                : kUnknownStepMs;
+    finish[i] = begin + (done ? 0 : estimate * ratio);
+    longest = std::max(longest, finish[i]);
+  }
+  return static_cast<std::int64_t>(longest);
+}
+
+bool operator<(const Urgency& a, const Urgency& b) {
+  return std::tie(a.lateness, a.priority, a.due_ms, a.cost_per_worth) <
+         std::tie(b.lateness, b.priority, b.due_ms, b.cost_per_worth);
+}
+
+Urgency RankJob(const JobRecord& job, const OccurrenceRecord& occurrence,
+                const QueueConfig& queue, double ratio, TimePoint now) {
+  const std::int64_t chain = ChainMs(job.spec, nullptr, ratio);
+  const std::int64_t left = ChainMs(job.spec, &occurrence, ratio);
+  const std::int64_t objective =
+      static_cast<std::int64_t>(queue.stretch * static_cast<double>(chain)) +
+      queue.objective_ms;
+  const std::int64_t age = (now - job.accepted_at).count();
+  Urgency urgency;
+  urgency.priority = queue.priority;
+  urgency.due_ms = objective - age - left;
+  if (age + left > objective) urgency.lateness = 1;
+  if (static_cast<double>(age + left) >
+      kLateFactor * static_cast<double>(objective)) {
+    urgency.lateness = 2;
+  }
+  return urgency;
+}
+
+}  // namespace basilusher
--- a/lib/Support/Log.cc
+++ b/lib/Support/Log.cc
@@ -1,13 +1,6 @@
-// JSON lines through log4cplus.
+// JSON lines to the open sink.
 #include "basilusher/Support/Log.h"
 
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/fileappender.h>
-#include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
-#include <log4cplus/logger.h>
-#include <log4cplus/loggingmacros.h>
-
 #include <memory>
 
 #include "basilusher/Support/Clock.h"
@@ -23,10 +16,9 @@
     {LogLevel::kError, "error"},
 }};
 
-/// The open log; null until OpenLog.
+/// The open log; null until it is opened.
 struct OpenedLog {
-  log4cplus::Initializer initializer;
-  log4cplus::Logger logger;
+  std::unique_ptr<LogSink> sink;
   std::string process;
   LogLevel level = LogLevel::kInfo;
 };
@@ -36,30 +28,21 @@
   return log;
 }
 
-log4cplus::SharedAppenderPtr MakeAppender(const LogOptions& options) {
-  if (options.file.empty()) {
-    return log4cplus::SharedAppenderPtr(
-        new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
-                                       /*immediateFlush=*/true));
-  }
-  return log4cplus::SharedAppenderPtr(
-      new log4cplus::FileAppender(options.file, std::ios_base::app));
-}
-
 }  // namespace
 
-void OpenLog(const LogOptions& options) {
+void OpenLogOn(const std::string& process, LogLevel level,
+               std::unique_ptr<LogSink> sink) {
   std::unique_ptr<OpenedLog> log = std::make_unique<OpenedLog>();
-  log->logger = log4cplus::Logger::getInstance("basilusher");
-  log->process = options.process;
-  log->level = options.level;
-  log4cplus::SharedAppenderPtr appender = MakeAppender(options);
-  appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
-  log->logger.addAppender(appender);
-  log->logger.setLogLevel(log4cplus::ALL_LOG_LEVEL);
+  log->sink = std::move(sink);
+  log->process = process;
+  log->level = level;
   TheLog() = std::move(log);
 }
 
+void FlushLog() {
+  if (TheLog() != nullptr) TheLog()->sink->Flush();
+}
+
 void CloseLog() { TheLog().reset(); }
 
 void LogEvent(LogLevel level, std::string_view event, const Json& fields) {
@@ -70,9 +53,8 @@
   line["level"] = NameOf(kLevelNames, level);
   line["event"] = event;
   line["process"] = log->process;
-  log->logger.forcedLog(
-      log4cplus::INFO_LOG_LEVEL,
-      line.dump(-1, ' ', false, Json::error_handler_t::replace));
+  log->sink->Write(level,
+                   line.dump(-1, ' ', false, Json::error_handler_t::replace));
 }
 
 void LogSpan(const Span& span) {
--- /dev/null
+++ b/lib/Support/StdoutLog.cc
@@ -0,0 +1,82 @@
+// Log sink on standard output that never blocks.
+#include <poll.h>
+#include <unistd.h>
+
+#include <chrono>
+
+#include "basilusher/Support/Clock.h"
+#include "basilusher/Support/Log.h"
+
+namespace basilusher {
+namespace {
+
+/// A write of at most this size to a pipe that is ready never blocks (POSIX
+/// PIPE_BUF on Linux).
+constexpr std::size_t kAtomicWrite = 4096;
+/// Lines kept while the reader is slow.
+constexpr std::size_t kMaxBuffered = 64 * 1024;
+/// Informational lines beyond this rate are left out; far above a busy node's.
+constexpr int kMaxInfoPerSecond = 2000;
+
+class StdoutSink : public LogSink {
+ public:
+  void Write(LogLevel level, const std::string& line) override {
+    const std::chrono::seconds now =
+        std::chrono::duration_cast<std::chrono::seconds>(
+            std::chrono::steady_clock::now().time_since_epoch());
+    if (now != second_) {
+      second_ = now;
+      infos_ = 0;
+      ReportOmitted();
+    }
+    const bool failure = level >= LogLevel::kWarning;
+    const bool over_rate = !failure && ++infos_ > kMaxInfoPerSecond;
+    // Half of the buffer is kept for lines of failures.
+    const std::size_t room = failure ? kMaxBuffered : kMaxBuffered / 2;
+    if (over_rate || buffer_.size() + line.size() + 1 > room) {
+      ++omitted_;
+      return;
+    }
+    buffer_ += line;
+    buffer_ += '\n';
+    if (buffer_.size() >= kAtomicWrite) Flush();
+  }
+
+  void Flush() override {
+    std::size_t begin = 0;
+    while (begin < buffer_.size() && Ready()) {
+      const std::size_t size = std::min(kAtomicWrite, buffer_.size() - begin);
+      const ssize_t n = write(STDOUT_FILENO, buffer_.data() + begin, size);
+      if (n <= 0) break;
+      begin += static_cast<std::size_t>(n);
+    }
+    buffer_.erase(0, begin);
+  }
+
+ private:
+  static bool Ready() {
+    pollfd descriptor = {.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    return poll(&descriptor, 1, 0) == 1 &&
+           (descriptor.revents & POLLOUT) != 0;
+  }
+
+  void ReportOmitted() {
+    if (omitted_ == 0) return;
+    buffer_ += "{\"event\":\"log-lines-omitted\",\"count\":" +
+               std::to_string(omitted_) + "}\n";
+    omitted_ = 0;
+  }
+
+  std::string buffer_;
+  std::chrono::seconds second_{0};
+  int infos_ = 0;
+  std::int64_t omitted_ = 0;
+};
+
+}  // namespace
+
+void OpenStdoutLog(const std::string& process) {
+  OpenLogOn(process, LogLevel::kInfo, std::make_unique<StdoutSink>());
+}
+
+}  // namespace basilusher
