--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -19,7 +19,9 @@
 #include "basilusher/Partition/Recorder.h"
 #include "basilusher/Partition/WorkerLink.h"
 #include "basilusher/Schedule/Placement.h"
+#include "basilusher/Schedule/PoolPlan.h"
 #include "basilusher/Schedule/Urgency.h"
+#include "basilusher/Schedule/WavePlan.h"
 #include "basilusher/Store/StoreWatcher.h"
 #include "basilusher/Store/TransactionalStore.h"
 
@@ -40,6 +42,8 @@
   std::string cancel_prefix = "b/in/cancel/";
   std::string progress_prefix = "b/progress/";
   std::string final_prefix = "b/final/";
+  /// Instances of a maintenance wave that are done.
+  std::string wave_prefix = "b/wave/";
 };
 
 /// Names and formats of the platform's directory, which only the adapter knows.
@@ -86,8 +90,8 @@
   Millis max_unconfirmed{8000};
   /// Time that an earlier owner may go on after this term's begin.
   Millis earlier_owner{8000};
-  /// A stop may take this long at a worker.
-  Millis stop_timeout{400};
+  /// Orders of two owners for one instance must be this far apart.
+  Millis holder_lease{3000};
 };
 
 struct ShownJob {
@@ -144,6 +148,31 @@
     /// stop.
     std::map<std::pair<TaskId, std::int64_t>, TimePoint> strangers;
     int strangers_listed = 0;
+    /// Since when nothing has run there.
+    TimePoint idle_since{};
+  };
+  /// A move or maintenance of one instance that is under way.
+  struct InstanceOp {
+    /// The wave that the instance is maintained for; zero for a move.
+    std::int64_t wave = 0;
+    std::string to_pool;
+    /// Worker that lived there when the operation began.
+    std::string worker;
+    TimePoint begun_at{};
+    TimePoint sent_at{};
+    TimePoint accepted_at{};
+    bool in_flight = false;
+    bool accepted = false;
+  };
+  struct WaveProgress {
+    MaintenanceWave wave;
+    TimePoint deadline{};
+    std::int64_t begun_unix_ms = 0;
+    std::set<std::string> done;
+    bool loaded = false;
+    bool finished = false;
+    bool saving = false;
+    bool changed = false;
   };
   struct FinalRecord {
     ShownJob shown;
@@ -200,6 +229,27 @@
   std::int64_t NextRun(const TaskRecord& task) const;
   void Tick();
 
+  // OwnerFleet.cc: moves and maintenance of instances.
+  void FleetTick();
+  void ListInstances();
+  void OnInstances(const InstanceList& list, TimePoint asked_at);
+  WorkerState* WorkerOn(const Instance& instance);
+  bool IsEmpty(const Instance& instance);
+  void LoadWave(std::int64_t number);
+  void SaveWave(std::int64_t number);
+  void PlanWaves();
+  void PlanPools();
+  PoolDemand DemandOf(const std::string& pool);
+  void BeginOp(const Instance& instance, std::int64_t wave,
+               const std::string& to_pool);
+  void ProgressOp(const std::string& id, InstanceOp* op);
+  void CancelOpLater(const std::string& id);
+  void OnInstanceResult(const std::string& id, InstanceResult result);
+  void EvictLasting(WorkerState* worker, bool leaving_soon);
+  bool HasRoomElsewhere(const JobRecord& job, const TaskId& id,
+                        const WorkerState& from);
+  void EvictFromDraining();
+
   const QueueConfig* QueueOf(const JobRecord& job) const;
   WorkerState* FindWorker(const std::string& id);
 
@@ -216,10 +266,22 @@
   std::map<std::string, Resources> workspace_used_;
   std::map<std::string, DurationEstimate> durations_;
   std::map<std::string, StoredItem> loaded_progress_;
+  /// Cancelled jobs that are not known yet.
+  std::set<std::string> early_cancels_;
   /// Workers that may run tasks of an earlier owner and have not been read.
   std::set<std::string> unread_workers_;
   TimePoint began_at_{};
   TimePoint doubt_until_{};
+  std::map<std::string, Instance> instances_;
+  std::map<std::string, TimePoint> instance_seen_at_;
+  std::map<std::string, InstanceOp> instance_ops_;
+  std::map<std::int64_t, WaveProgress> waves_;
+  std::map<std::string, ArrivalWindow> arrivals_;
+  std::map<std::string, int> pool_surplus_;
+  std::map<std::string, TimePoint> surplus_since_;
+  TimePoint listed_at_{};
+  bool listing_ = false;
+  bool instances_known_ = false;
   bool progress_loaded_ = false;
   bool finals_loaded_ = false;
   bool workers_loaded_ = false;
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -290,12 +290,4 @@
   ScheduleDispatch();
 }
 
-void PartitionOwner::SetWave(const MaintenanceWave& wave) {
-  LogEvent(LogLevel::kInfo, "wave",
-           {{"wave", wave.number},
-            {"instances", wave.instances.size()},
-            {"ramp_s", wave.ramp_s},
-            {"max_at_once", wave.max_at_once}});
-}
-
 }  // namespace basilusher
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -18,6 +18,33 @@
       .dump();
 }
 
+/// One step in short, for the log.
+std::string DescribeStep(const StepSpec& step) {
+  std::string text = std::to_string(step.count) + "x" +
+                     std::to_string(step.need.cpu_millis) + "m/" +
+                     std::to_string(step.need.memory_mb) + "MB " +
+                     std::to_string(step.estimate_ms) + "ms";
+  if (step.need.accelerators > 0) {
+    text += " accelerators=" + std::to_string(step.need.accelerators);
+  }
+  if (step.lasting) text += " lasting";
+  if (step.filler) text += " filler";
+  if (step.gang) text += " gang";
+  if (step.speculative) text += " speculative";
+  if (step.checkpointable) text += " checkpoints";
+  if (step.max_per_worker > 0) {
+    text += " per-worker<=" + std::to_string(step.max_per_worker);
+  }
+  if (step.max_unavailable) {
+    text += " unavailable<=" + std::to_string(*step.max_unavailable);
+  }
+  if (step.target_ms > 0) {
+    text += " target=" + std::to_string(step.target_ms) + "ms";
+  }
+  if (!step.image.empty()) text += " image=" + step.image;
+  return text;
+}
+
 std::optional<ShownJob> DecodeFinal(const std::string& bytes) {
   const Json document = Json::parse(bytes, nullptr, false);
   if (!document.is_object()) return std::nullopt;
@@ -94,6 +121,7 @@
           .on_item = [this](const StoredItem& item) { OnInbox(item); },
           .on_loaded = [this] { OnLoaded(); }});
   Tick();
+  FleetTick();
 }
 
 void PartitionOwner::LoadProgress() {
@@ -233,10 +261,29 @@
     job->state = JobState::kRunning;
   }
   OpenDueOccurrences(job, unix_ms);
+  if (early_cancels_.erase(id) > 0) {
+    CancelJob(id);
+    return;
+  }
+  Json shape = Json::array();
+  for (const StepSpec& step : job->spec.steps) {
+    shape.push_back(DescribeStep(step));
+  }
+  const QueueConfig* queue = QueueOf(*job);
+  if (queue != nullptr) {
+    double core_ms = 0;
+    for (const StepSpec& step : job->spec.steps) {
+      if (step.lasting) continue;
+      core_ms += static_cast<double>(step.need.cpu_millis) / 1000.0 *
+                 static_cast<double>(step.estimate_ms) *
+                 durations_[job->spec.queue].ratio * step.count;
+    }
+    arrivals_[queue->pool].Add(ports_.clock->Now(), core_ms);
+  }
   LogEvent(LogLevel::kInfo, "job-known",
            {{"job", id},
             {"queue", job->spec.queue},
-            {"steps", job->spec.steps.size()},
+            {"steps", std::move(shape)},
             {"inherited", job->inherited},
             {"age_ms", age}});
   ScheduleDispatch();
@@ -244,6 +291,11 @@
 
 void PartitionOwner::CancelJob(const std::string& id) {
   JobRecord* job = jobs_.Find(id);
+  if (job == nullptr && !finals_.contains(id)) {
+    // A list names cancellations before the jobs that they are for.
+    early_cancels_.insert(id);
+    return;
+  }
   if (job == nullptr || IsFinal(job->state)) return;
   job->cancelled = true;
   job->state = JobState::kCancelled;
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -30,6 +30,7 @@
   slot = std::make_unique<WorkerState>();
   slot->slot.id = id;
   slot->entry.id = id;
+  slot->idle_since = ports_.clock->Now();
   slot->link = std::make_shared<WorkerLink>(
       ports_.workers, ports_.timers, ports_.clock,
       WorkerAddress{.id = id, .address = address},
@@ -129,7 +130,9 @@
   if (step.target_ms > 0) --worker->slot.serving;
   if (step.filler) --worker->slot.fillers;
   workspace_used_[job->spec.workspace] -= step.need;
-  if (worker->tasks.empty() && !worker->listed) DropWorker(worker->slot.id);
+  if (!worker->tasks.empty()) return;
+  worker->idle_since = ports_.clock->Now();
+  if (!worker->listed) DropWorker(worker->slot.id);
 }
 
 void PartitionOwner::ReturnToQueue(JobRecord* job, const TaskId& id) {
--- a/lib/Schedule/Placement.cc
+++ b/lib/Schedule/Placement.cc
@@ -12,7 +12,6 @@
 constexpr double kStrike = 100.0;
 constexpr double kFarFromData = 50.0;
 constexpr double kDisturbs = 20.0;
-constexpr double kSibling = 2.0;
 constexpr double kFreeShare = 1.0;
 
 double FreeShare(const WorkerSlot& worker) {
@@ -35,9 +34,6 @@
   // Fillers disturb tasks that serve; keep the two apart while room lasts.
   if (step.filler) cost += worker.serving * kDisturbs;
   if (step.target_ms > 0) cost += worker.fillers * kDisturbs;
-  if (step.lasting && request.siblings) {
-    cost += request.siblings(worker) * kSibling;
-  }
   return cost;
 }
 
