--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -239,6 +239,7 @@
   void SaveWave(std::int64_t number);
   void PlanWaves();
   void PlanPools();
+  void LogPool(const PoolState& pool, const PoolDemand& demand) const;
   PoolDemand DemandOf(const std::string& pool);
   void BeginOp(const Instance& instance, std::int64_t wave,
                const std::string& to_pool);
@@ -280,6 +281,7 @@
   std::map<std::string, int> pool_surplus_;
   std::map<std::string, TimePoint> surplus_since_;
   TimePoint listed_at_{};
+  TimePoint pools_logged_at_{};
   bool listing_ = false;
   bool instances_known_ = false;
   bool progress_loaded_ = false;
--- a/include/basilusher/Schedule/PoolPlan.h
+++ b/include/basilusher/Schedule/PoolPlan.h
@@ -40,8 +40,8 @@
   Resources lasting;
   /// Cores that arrivals will keep busy.
   double arriving_cores = 0;
-  /// Lasting work is present.
-  bool has_lasting = false;
+  /// Workers that spread tasks need, whatever their size.
+  int distinct_workers = 0;
 };
 
 /// Instances of size `room` that carry `demand`. Thread-safe.
--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -20,6 +20,9 @@
 constexpr Millis kMoveGivesUp{3000};
 /// An instance of a wave that the list has not shown for this long is gone.
 constexpr Millis kGoneAfter{6000};
+/// The list of instances may be this old.
+constexpr Millis kListLag{1000};
+constexpr Millis kPoolLogPeriod{1000};
 constexpr int kPercentAtWork = 100;
 
 }  // namespace
@@ -159,10 +162,16 @@
   for (auto& [id, op] : instance_ops_) {
     if (!op.accepted || op.accepted_at >= asked_at) continue;
     const auto it = instances_.find(id);
-    const bool back = it == instances_.end() ||
-                      (it->second.state == InstanceState::kUp &&
-                       it->second.worker != op.worker);
-    if (back) over.push_back(id);
+    if (it == instances_.end()) {
+      over.push_back(id);
+      continue;
+    }
+    // An instance that is switched off has no worker before and after; the
+    // list may lag, so its state counts only well after the order.
+    const bool new_life =
+        it->second.worker != op.worker ||
+        (op.worker.empty() && asked_at - op.accepted_at > kListLag);
+    if (it->second.state == InstanceState::kUp && new_life) over.push_back(id);
   }
   for (const std::string& id : over) {
     LogEvent(LogLevel::kInfo, "instance-back",
@@ -425,7 +434,12 @@
             static_cast<int>(step.tasks.size()) - step.done - step.active;
         if (spec.lasting) {
           demand.lasting += charge * (waiting + step.active);
-          demand.has_lasting = true;
+        }
+        if (spec.max_per_worker > 0 && waiting + step.active > 0) {
+          const int spread =
+              (waiting + step.active + spec.max_per_worker - 1) /
+              spec.max_per_worker;
+          demand.distinct_workers = std::max(demand.distinct_workers, spread);
         }
         if (waiting > 0 &&
             StepReady(*job, occurrence, static_cast<int>(s))) {
@@ -438,6 +452,26 @@
   return demand;
 }
 
+void PartitionOwner::LogPool(const PoolState& pool,
+                             const PoolDemand& demand) const {
+  int free = 0;
+  int arriving = 0;
+  for (const PoolInstance& instance : pool.instances) {
+    free += instance.free ? 1 : 0;
+    arriving += instance.arriving ? 1 : 0;
+  }
+  LogEvent(LogLevel::kInfo, "pool",
+           {{"pool", pool.name},
+            {"instances", pool.instances.size()},
+            {"free", free},
+            {"arriving", arriving},
+            {"needed", pool.needed},
+            {"running_cpu", demand.running.cpu_millis},
+            {"waiting_cpu", demand.waiting.cpu_millis},
+            {"lasting_cpu", demand.lasting.cpu_millis},
+            {"arriving_cores", static_cast<int>(demand.arriving_cores)}});
+}
+
 void PartitionOwner::PlanPools() {
   const TimePoint now = ports_.clock->Now();
   std::map<std::string, PoolState> states;
@@ -472,7 +506,11 @@
     if (!state.spare) {
       const Resources room =
           rooms.contains(name) ? rooms[name] : Resources{.cpu_millis = 1};
-      state.needed = InstancesNeeded(DemandOf(name), room);
+      const PoolDemand demand = DemandOf(name);
+      state.needed = InstancesNeeded(demand, room);
+      if (now - pools_logged_at_ >= kPoolLogPeriod) {
+        LogPool(state, demand);
+      }
       const int surplus =
           static_cast<int>(state.instances.size()) - state.needed;
       pool_surplus_[name] = surplus;
@@ -483,11 +521,9 @@
     }
     pools.push_back(std::move(state));
   }
+  if (now - pools_logged_at_ >= kPoolLogPeriod) pools_logged_at_ = now;
   for (const InstanceMove& move : PlanMoves(pools)) {
-    const Instance& instance = instances_.at(move.instance);
-    const auto target = rooms.find(move.to);
-    (void)target;
-    BeginOp(instance, 0, move.to);
+    BeginOp(instances_.at(move.instance), 0, move.to);
   }
 }
 
--- a/lib/Schedule/PoolPlan.cc
+++ b/lib/Schedule/PoolPlan.cc
@@ -11,9 +11,9 @@
 constexpr Millis kArrivalWindow{1000};
 /// Share of an instance that packing can fill, since tasks vary in size.
 constexpr double kPackingShare = 0.92;
-/// An instance that has rested this long costs more to keep than to fetch
-/// again: a round trip costs about two seconds of an instance's price.
-constexpr Millis kRestBeforeSleep{1200};
+/// A surplus that has lasted this long is taken for the end of a burst. A round
+/// trip costs about two seconds of an instance's price, and a lull lasts longer.
+constexpr Millis kRestBeforeSleep{600};
 /// A pool in need takes from pools that have had more than they need for this
 /// long.
 constexpr Millis kRestBeforeLending{600};
@@ -94,7 +94,7 @@
   const double coming = LargestShare(expected, room);
   const double needed = std::max(present, coming) / kPackingShare;
   const int count = static_cast<int>(std::ceil(needed - 0.02));
-  return std::max(count, 1);
+  return std::max({count, demand.distinct_workers, 1});
 }
 
 std::vector<InstanceMove> PlanMoves(const std::vector<PoolState>& pools) {
