--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -495,10 +495,13 @@
       view.free = true;
       view.idle = worker == nullptr ? Millis(0) : now - worker->idle_since;
     }
-    // An instance that is maintained or drains carries nothing now.
-    const bool away = (op != instance_ops_.end() && op->second.wave > 0) ||
-                      instance.state == InstanceState::kMaintenance ||
-                      (worker != nullptr && worker->entry.draining);
+    // An instance that is maintained, drains or does not answer carries nothing
+    // new now.
+    const bool away =
+        (op != instance_ops_.end() && op->second.wave > 0) ||
+        instance.state == InstanceState::kMaintenance ||
+        (worker != nullptr && (worker->entry.draining || !worker->listed ||
+                               worker->link->Silent()));
     if (!away) state->second.instances.push_back(view);
   }
   std::vector<PoolState> pools;
--- a/lib/Partition/WorkerLink.cc
+++ b/lib/Partition/WorkerLink.cc
@@ -90,9 +90,12 @@
   ++look_number_;
   const TimePoint sent_at = clock_->Now();
   const std::int64_t fence = fence_;
+  // A look that went unanswered may have renewed the leases all the same: while
+  // the worker is silent none is renewed, so that they run out in a known time.
+  const bool renew = unanswered_ == 0;
   const HoldOrder order = {.fence = fence,
                            .seen_up_to = acknowledged_,
-                           .lease_worker_ms = LeaseDeadline(),
+                           .lease_worker_ms = renew ? LeaseDeadline() : 0,
                            .wait = wait};
   gateway_->Hold(address_, order,
                  [self = shared_from_this(), sent_at, fence,
--- /dev/null
+++ b/unittests/Partition/OwnerTest.cc
@@ -0,0 +1,116 @@
+// What one owner does with jobs and workers, and what the next one takes over.
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "FleetSim.h"
+
+namespace basilusher {
+namespace {
+
+constexpr const char* kJob = "00000000000000a1";
+
+/// Lets a pool of `workers` come up.
+void SetUpFleet(FleetSim* sim, int workers) {
+  for (int i = 0; i < workers; ++i) sim->fleet.AddWorker("pool");
+  sim->BeginTerm();
+  sim->Run(Millis(300));
+}
+
+JobSpec LastingJob(int tasks, int per_worker) {
+  JobSpec job = FleetSim::MakeJob(kJob, tasks, 0);
+  job.steps[0].lasting = true;
+  job.steps[0].max_per_worker = per_worker;
+  job.steps[0].max_unavailable = 1;
+  return job;
+}
+
+TEST(OwnerTest, RunsStepsInOrderAndRecordsTheEnd) {
+  FleetSim sim;
+  SetUpFleet(&sim, 3);
+  JobSpec job = FleetSim::MakeJob(kJob, 5, 400);
+  job.steps.push_back(job.steps[0]);
+  job.steps[1].after = {0};
+  sim.Submit(job);
+  sim.Run(Millis(2000));
+  EXPECT_EQ(sim.StateOf(kJob), JobState::kSucceeded);
+  EXPECT_EQ(sim.fleet.Done(kJob), 10);
+  EXPECT_TRUE(sim.store.Has(RecordKeys().final_prefix + kJob));
+  EXPECT_FALSE(sim.store.Has(RecordKeys().job_prefix + kJob));
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
+TEST(OwnerTest, TasksOfALostWorkerStartElsewhereOnceItsLeaseIsOver) {
+  FleetSim sim;
+  SetUpFleet(&sim, 3);
+  sim.Submit(LastingJob(3, 1));
+  sim.Run(Millis(1000));
+  ASSERT_EQ(sim.fleet.Running(kJob), 3);
+  for (int i = 0; i < 2; ++i) sim.fleet.AddWorker("pool");
+  sim.fleet.Crash(sim.fleet.Ids().front());
+  sim.Run(Millis(7500));
+  EXPECT_EQ(sim.fleet.Running(kJob), 3);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
+TEST(OwnerTest, ACancellationListedBeforeItsJobCountsAfterATakeOver) {
+  FleetSim sim;
+  SetUpFleet(&sim, 2);
+  sim.Submit(LastingJob(2, 0));
+  sim.Run(Millis(500));
+  ASSERT_EQ(sim.fleet.Running(kJob), 2);
+  sim.owner->Close();
+  sim.Cancel(kJob);
+  sim.BeginTerm();
+  sim.Run(Millis(1500));
+  EXPECT_EQ(sim.fleet.Running(kJob), 0);
+  EXPECT_EQ(sim.StateOf(kJob), JobState::kCancelled);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
+TEST(OwnerTest, ATakeOverAdoptsWhatRuns) {
+  FleetSim sim;
+  SetUpFleet(&sim, 3);
+  sim.Submit(FleetSim::MakeJob(kJob, 8, 3000));
+  sim.Run(Millis(1000));
+  sim.BeginTerm();
+  sim.Run(Millis(3500));
+  EXPECT_EQ(sim.StateOf(kJob), JobState::kSucceeded);
+  EXPECT_EQ(sim.fleet.Starts(), 8);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
+TEST(OwnerTest, AnUnansweredStartIsSettledBeforeTheTaskStartsElsewhere) {
+  for (const SimFault fault :
+       {SimFault::kAnswerLost, SimFault::kLate, SimFault::kSilent}) {
+    FleetSim sim;
+    SetUpFleet(&sim, 2);
+    for (const std::string& id : sim.fleet.Ids()) {
+      sim.fleet.Find(id)->fault = fault;
+    }
+    sim.Submit(FleetSim::MakeJob(kJob, 6, 2000));
+    sim.Run(Millis(300));
+    for (const std::string& id : sim.fleet.Ids()) {
+      sim.fleet.Find(id)->fault = SimFault::kNone;
+    }
+    sim.Run(Millis(12000));
+    EXPECT_EQ(sim.StateOf(kJob), JobState::kSucceeded);
+    EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+  }
+}
+
+TEST(OwnerTest, FailuresAreCountedOnceAcrossATakeOver) {
+  FleetSim sim;
+  SetUpFleet(&sim, 1);
+  sim.fleet.Find(sim.fleet.Ids().front())->fails_all = true;
+  sim.Submit(FleetSim::MakeJob(kJob, 1, 100));
+  sim.store.fault = SimFault::kNone;
+  sim.Run(Millis(150));
+  sim.BeginTerm();
+  sim.Run(Millis(3000));
+  EXPECT_EQ(sim.StateOf(kJob), JobState::kFailed);
+  EXPECT_EQ(sim.fleet.Starts(), 3);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
+}  // namespace
+}  // namespace basilusher
