--- a/include/basilusher/Partition/WorkerLink.h
+++ b/include/basilusher/Partition/WorkerLink.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -66,7 +67,8 @@
   void Stop(const TaskId& task, std::int64_t run);
   void Pace(const TaskId& task, std::int64_t run, int percent,
             std::function<void(OrderResult)> done);
-  /// Ends up to `number` are durable.
+  /// The ends of the answer whose last one is `number` are durable. They are
+  /// forgotten by the worker once all ends before them are durable too.
   void Acknowledge(std::int64_t number);
 
   /// The worker's lists have been read in this life and it answers.
@@ -112,6 +114,9 @@
   std::int64_t born_unix_ms_ = 0;
   std::int64_t last_end_ = 0;
   std::int64_t acknowledged_ = 0;
+  /// Last numbers of answers whose ends are not all durable, and whether they
+  /// are by themselves.
+  std::map<std::int64_t, bool> unstored_;
   /// Last reading of the worker's clock and when its answer came.
   std::int64_t worker_clock_ms_ = 0;
   TimePoint worker_clock_at_{};
--- a/lib/Partition/WorkerLink.cc
+++ b/lib/Partition/WorkerLink.cc
@@ -174,6 +174,7 @@
   if (settled) settling_ = false;
   synced_ = true;
   const bool has_new_ends = !fresh.ended.empty();
+  if (has_new_ends) unstored_[last_end_] = false;
   listener_.on_lists(fresh, sent_at, settled);
   if (closed_) return;
   if (first) {
@@ -207,6 +208,7 @@
   ++fence_;
   last_end_ = 0;
   acknowledged_ = 0;
+  unstored_.clear();
   clock_known_ = false;
   max_lease_worker_ms_ = 0;
   lease_end_ = TimePoint{};
@@ -264,7 +266,13 @@
 }
 
 void WorkerLink::Acknowledge(std::int64_t number) {
-  acknowledged_ = std::max(acknowledged_, number);
+  const auto batch = unstored_.find(number);
+  if (batch == unstored_.end()) return;  // of an earlier life
+  batch->second = true;
+  while (!unstored_.empty() && unstored_.begin()->second) {
+    acknowledged_ = unstored_.begin()->first;
+    unstored_.erase(unstored_.begin());
+  }
   if (closed_ || look_in_flight_ || acknowledged_ < last_end_) return;
   Look(options_.look_wait);
 }
--- a/unittests/Partition/OwnerTest.cc
+++ b/unittests/Partition/OwnerTest.cc
@@ -112,5 +112,30 @@
   EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
 }
 
+TEST(OwnerTest, AnEndIsAcknowledgedOnlyAfterAllEndsBeforeItAreStored) {
+  FleetSim sim;
+  SetUpFleet(&sim, 1);
+  const std::string other = "00000000000000b2";
+  JobSpec lasting = LastingJob(1, 0);
+  lasting.id = other;
+  sim.Submit(lasting);
+  sim.Submit(FleetSim::MakeJob(kJob, 1, 500));
+  sim.Run(Millis(440));
+  sim.Cancel(other);
+  sim.Run(Millis(40));
+  ASSERT_TRUE(sim.store.Has(RecordKeys().final_prefix + other));
+  // The task's end is listed while the store is silent, and after it the end of
+  // the cancelled job's task, which needs no record.
+  sim.store.fault = SimFault::kSilent;
+  sim.Run(Millis(400));
+  sim.owner->Close();
+  sim.store.fault = SimFault::kNone;
+  sim.BeginTerm();
+  sim.Run(Millis(2000));
+  EXPECT_EQ(sim.StateOf(kJob), JobState::kSucceeded);
+  EXPECT_EQ(sim.fleet.Starts(), 2);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
 }  // namespace
 }  // namespace basilusher
