--- a/include/basilusher/Jobs/JobTable.h
+++ b/include/basilusher/Jobs/JobTable.h
@@ -32,6 +32,9 @@
   /// A start was sent and not answered: it may take effect until the worker's
   /// lists, read under a later fencing token, show otherwise.
   bool in_doubt = false;
+  /// This owner has started or adopted a run: no earlier owner's run of the task
+  /// can turn up any more.
+  bool placed_here = false;
   int failures = 0;
   /// Highest run whose failure has been counted.
   std::int64_t counted_run = 0;
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -134,6 +134,13 @@
   bool RecordsIdle() const { return recorder_->Idle(); }
 
  private:
+  /// A run that was given up while it may still take room at its worker.
+  struct LeftRun {
+    TaskId task;
+    std::int64_t run = 0;
+    Resources charge;
+    TimePoint since{};
+  };
   struct WorkerState {
     WorkerEntry entry;
     bool listed = false;
@@ -148,6 +155,8 @@
     /// stop.
     std::map<std::pair<TaskId, std::int64_t>, TimePoint> strangers;
     int strangers_listed = 0;
+    /// Runs that are not wanted any more and whose end has not been listed.
+    std::vector<LeftRun> left;
     /// Since when nothing has run there.
     TimePoint idle_since{};
   };
@@ -168,6 +177,8 @@
     MaintenanceWave wave;
     TimePoint deadline{};
     std::int64_t begun_unix_ms = 0;
+    /// Revision of the stored progress.
+    std::int64_t revision = 0;
     std::set<std::string> done;
     bool loaded = false;
     bool finished = false;
@@ -192,6 +203,10 @@
   JobImage ImageOf(const std::string& job) const;
   void ForgetOldFinals();
   void SaveWorkers();
+  /// Takes the present revision of `key` out of a conflict; false if another
+  /// owner's term has begun.
+  bool TakeRevision(const StoreAnswer& conflict, const std::string& key,
+                    std::int64_t* revision);
 
   // OwnerWorkers.cc: the directory, lists, ends.
   void OnDirectory(const StoredItem& item);
@@ -203,6 +218,10 @@
   void StopStranger(WorkerState* worker, const TaskId& task, std::int64_t run);
   void OnEnded(WorkerState* worker, const EndedTask& end,
                std::set<std::string>* changed);
+  void LeaveRun(WorkerState* worker, const Resources& charge,
+                const TaskId& task, std::int64_t run);
+  void FreeLeftRuns(WorkerState* worker, const HoldAnswer& answer,
+                    TimePoint sent_at);
   void ReleaseGang(JobRecord* job, const TaskId& id);
   void FindVanished(WorkerState* worker, const HoldAnswer& answer,
                     TimePoint sent_at, bool settled);
@@ -289,6 +308,7 @@
   bool workers_loaded_ = false;
   bool loaded_ = false;
   bool dispatch_planned_ = false;
+  std::int64_t workers_revision_ = 0;
   bool saving_workers_ = false;
   bool workers_changed_ = false;
   bool closed_ = false;
--- a/lib/Jobs/JobTable.cc
+++ b/lib/Jobs/JobTable.cc
@@ -144,6 +144,7 @@
   StepRecord* step = FindStep(job, id);
   TaskRecord* task = TaskIn(step, id);
   task->state = TaskState::kStarting;
+  task->placed_here = true;
   task->worker = worker;
   task->run = run;
   task->sent_at = now;
@@ -155,6 +156,7 @@
   StepRecord* step = FindStep(job, id);
   TaskRecord* task = TaskIn(step, id);
   task->state = TaskState::kRunning;
+  task->placed_here = true;
   task->in_doubt = false;
   task->worker = worker;
   task->run = running.run;
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -169,7 +169,7 @@
       record.first_waiting = i;
       passed_waiting = true;
     }
-    if (now < task.not_before || (doubtful && task.run == 0)) continue;
+    if (now < task.not_before || (doubtful && !task.placed_here)) continue;
     if (!WithinCap(*job, spec.need)) return;
     request.avoid = task.failed_on;
     WorkerSlot* slot = ChooseWorker(request, slots);
@@ -195,7 +195,7 @@
   for (const TaskRecord& task : record.tasks) {
     // Members start all together or not at all.
     if (task.state != TaskState::kWaiting || now < task.not_before) return;
-    if (doubtful && task.run == 0) return;
+    if (doubtful && !task.placed_here) return;
     run = std::max(run, NextRun(task));
   }
   if (!WithinCap(*job, spec.need * spec.count)) return;
--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -54,6 +54,7 @@
         }
         WaveProgress& progress = self->waves_[number];
         if (!answer.items.empty()) {
+          progress.revision = answer.items.front().revision;
           const Json in =
               Json::parse(answer.items.front().value, nullptr, false);
           if (in.is_object()) {
@@ -88,8 +89,10 @@
   progress.changed = false;
   Txn txn;
   txn.conditions.push_back({options_.keys.owner, options_.term_revision});
+  const std::string key = options_.keys.wave_prefix + std::to_string(number);
+  txn.conditions.push_back({key, progress.revision});
   txn.writes.push_back(
-      {.key = options_.keys.wave_prefix + std::to_string(number),
+      {.key = key,
        .value = Json({{"done", progress.done},
                       {"finished", progress.finished},
                       {"begun_unix_ms", progress.begun_unix_ms}})
@@ -98,13 +101,15 @@
       {.key = ports_.formats->WaveStatusKey(number),
        .value = ports_.formats->EncodeWaveStatus(progress.finished)});
   ports_.store->Commit(
-      txn, [self = shared_from_this(), number](const StoreAnswer& answer) {
+      txn, [self = shared_from_this(), number, key](const StoreAnswer& answer) {
         if (self->closed_) return;
-        if (answer.status == TxnStatus::kConflict) {
-          self->listener_.on_deposed();
+        const bool stored = answer.status == TxnStatus::kOk;
+        std::int64_t& revision = self->waves_.at(number).revision;
+        if (stored) revision = answer.revision;
+        if (answer.status == TxnStatus::kConflict &&
+            !self->TakeRevision(answer, key, &revision)) {
           return;
         }
-        const bool stored = answer.status == TxnStatus::kOk;
         self->ports_.timers->After(
             stored ? Millis(0) : kOrderAgain, [self, number, stored] {
               if (self->closed_) return;
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -181,6 +181,9 @@
           });
           return;
         }
+        if (!answer.items.empty()) {
+          self->workers_revision_ = answer.items.front().revision;
+        }
         const Json known =
             answer.items.empty()
                 ? Json::object()
@@ -364,15 +367,20 @@
   }
   Txn txn;
   txn.conditions.push_back({options_.keys.owner, options_.term_revision});
+  // An earlier write whose answer was lost may be carried out late: the
+  // revision keeps it from replacing this one.
+  txn.conditions.push_back({options_.keys.workers, workers_revision_});
   txn.writes.push_back({.key = options_.keys.workers, .value = known.dump()});
   ports_.store->Commit(
       txn, [self = shared_from_this(), ids](const StoreAnswer& answer) {
         if (self->closed_) return;
-        if (answer.status == TxnStatus::kConflict) {
-          self->listener_.on_deposed();
+        const bool stored = answer.status == TxnStatus::kOk;
+        if (stored) self->workers_revision_ = answer.revision;
+        if (answer.status == TxnStatus::kConflict &&
+            !self->TakeRevision(answer, self->options_.keys.workers,
+                                &self->workers_revision_)) {
           return;
         }
-        const bool stored = answer.status == TxnStatus::kOk;
         self->ports_.timers->After(
             stored ? Millis(0) : kLoadRetryDelay, [self, stored] {
               self->saving_workers_ = false;
@@ -387,6 +395,20 @@
       });
 }
 
+bool PartitionOwner::TakeRevision(const StoreAnswer& conflict,
+                                  const std::string& key,
+                                  std::int64_t* revision) {
+  for (const StoredItem& item : conflict.items) {
+    if (item.key == options_.keys.owner &&
+        item.revision != options_.term_revision) {
+      listener_.on_deposed();
+      return false;
+    }
+    if (item.key == key) *revision = item.revision;
+  }
+  return true;
+}
+
 std::optional<ShownJob> PartitionOwner::Find(const std::string& id) const {
   const auto final = finals_.find(id);
   if (final != finals_.end()) return final->second.shown;
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -11,6 +11,8 @@
 constexpr std::int64_t kFencesPerTerm = 1000000;
 /// An order to stop is repeated if the run is still listed after this.
 constexpr Millis kStopAgain{600};
+/// An order that was sent this long ago has been answered or given up.
+constexpr Millis kOrdersSettled{600};
 /// After a failed run its task waits a little, so that a worker that fails
 /// everything cannot spend all attempts at once.
 constexpr Millis kRetryAfterFailure{30};
@@ -164,6 +166,7 @@
   for (const EndedTask& end : answer.ended) OnEnded(worker, end, &changed);
   for (const RunningTask& running : answer.running) OnRunning(worker, running);
   FindVanished(worker, answer, sent_at, settled);
+  FreeLeftRuns(worker, answer, sent_at);
   if (worker->strangers_listed == 0) worker->strangers.clear();
   unread_workers_.erase(id);
   if (!answer.ended.empty()) {
@@ -258,6 +261,7 @@
   const std::string holder_id = task->worker;
   const std::int64_t held_run = task->run;
   const bool gang = step.gang;
+  const Resources charge = Charge(step);
   const int attempts =
       queue == nullptr ? 1 : std::max(1, queue->max_attempts);
   const EndEffect effect = ApplyEnd(job, end, id, attempts);
@@ -280,8 +284,7 @@
   WorkerState* holder = FindWorker(holder_id);
   if (holder != nullptr && (current || done)) Release(holder, job, end.task);
   if (holder != nullptr && done && !current) {
-    // Another run of the task is still there.
-    StopStranger(holder, end.task, held_run);
+    LeaveRun(holder, charge, end.task, held_run);
   }
   if (gang && done) ReleaseGang(job, end.task);
   changed->insert(end.task.job);
@@ -295,6 +298,37 @@
   }
 }
 
+void PartitionOwner::LeaveRun(WorkerState* worker, const Resources& charge,
+                              const TaskId& task, std::int64_t run) {
+  worker->left.push_back({.task = task,
+                          .run = run,
+                          .charge = charge,
+                          .since = ports_.clock->Now()});
+  worker->slot.used += charge;
+  StopStranger(worker, task, run);
+}
+
+void PartitionOwner::FreeLeftRuns(WorkerState* worker,
+                                  const HoldAnswer& answer,
+                                  TimePoint sent_at) {
+  std::erase_if(worker->left, [&](const LeftRun& left) {
+    const bool ended = std::any_of(
+        answer.ended.begin(), answer.ended.end(), [&](const EndedTask& end) {
+          return end.run == left.run && end.task == left.task;
+        });
+    const bool running =
+        std::any_of(answer.running.begin(), answer.running.end(),
+                    [&](const RunningTask& row) {
+                      return row.run == left.run && row.task == left.task;
+                    });
+    if (!ended && (running || sent_at < left.since + kOrdersSettled)) {
+      return false;
+    }
+    worker->slot.used -= left.charge;
+    return true;
+  });
+}
+
 void PartitionOwner::ReleaseGang(JobRecord* job, const TaskId& id) {
   for (const auto& [worker_id, worker] : workers_) {
     std::vector<TaskId> members;
@@ -358,6 +392,8 @@
     ReturnToQueue(job, task_id);
     if (IsFinal(job->state)) DropIfFinished(task_id.job);
   }
+  for (const LeftRun& left : worker->left) worker->slot.used -= left.charge;
+  worker->left.clear();
   worker->strangers.clear();
   worker->strangers_listed = 0;
   unread_workers_.erase(id);
--- a/unittests/Partition/OwnerTest.cc
+++ b/unittests/Partition/OwnerTest.cc
@@ -137,5 +137,37 @@
   EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
 }
 
+TEST(OwnerTest, AnOldEndDoesNotFreeATaskThatMayRunAtAWorkerNotReadYet) {
+  FleetSim sim;
+  SetUpFleet(&sim, 2);
+  JobSpec job = FleetSim::MakeJob(kJob, 1, 6000);
+  // The first run is stopped with its worker's evacuation, the second one runs
+  // on the other worker while the store is away.
+  job.steps[0].lasting = true;
+  sim.Submit(job);
+  sim.Run(Millis(200));
+  std::string first;
+  for (const std::string& id : sim.fleet.Ids()) {
+    if (!sim.fleet.Find(id)->running.empty()) first = id;
+  }
+  sim.store.fault = SimFault::kNone;
+  sim.fleet.Drain(first);
+  sim.Run(Millis(15));
+  sim.store.fault = SimFault::kSilent;
+  sim.Run(Millis(600));
+  std::string second;
+  for (const std::string& id : sim.fleet.Ids()) {
+    if (!sim.fleet.Find(id)->running.empty()) second = id;
+  }
+  ASSERT_NE(first, second);
+  sim.store.fault = SimFault::kNone;
+  sim.owner->Close();
+  sim.fleet.AddWorker("pool");
+  sim.fleet.Find(second)->fault = SimFault::kSilent;
+  sim.BeginTerm();
+  sim.Run(Millis(1500));
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
 }  // namespace
 }  // namespace basilusher
