--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -146,6 +146,8 @@
     bool listed = false;
     /// The store knows that tasks may run there.
     bool recorded = false;
+    /// This owner has ended its life by taking its instance.
+    bool ended = false;
     /// Being emptied for a move or maintenance.
     bool reserved = false;
     WorkerSlot slot;
@@ -269,6 +271,10 @@
   bool HasRoomElsewhere(const JobRecord& job, const TaskId& id,
                         const WorkerState& from);
   void EvictFromDraining();
+  /// The task runs at full speed on a worker that answers.
+  bool IsAtWork(const TaskRecord& task);
+  /// Recorded workers that no instance carries any more run nothing.
+  void ForgetEndedLives();
 
   const QueueConfig* QueueOf(const JobRecord& job) const;
   WorkerState* FindWorker(const std::string& id);
@@ -294,6 +300,8 @@
   TimePoint doubt_until_{};
   std::map<std::string, Instance> instances_;
   std::map<std::string, TimePoint> instance_seen_at_;
+  /// When each worker was first seen on an instance.
+  std::map<std::string, TimePoint> life_seen_at_;
   std::map<std::string, InstanceOp> instance_ops_;
   std::map<std::int64_t, WaveProgress> waves_;
   std::map<std::string, ArrivalWindow> arrivals_;
--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -22,6 +22,8 @@
 constexpr Millis kGoneAfter{6000};
 /// The list of instances may be this old.
 constexpr Millis kListLag{1000};
+/// A worker appears in the directory this long after its instance at the latest.
+constexpr Millis kLifeAppears{3000};
 constexpr Millis kPoolLogPeriod{1000};
 constexpr int kPercentAtWork = 100;
 
@@ -160,9 +162,17 @@
   for (const Instance& instance : list.instances) {
     fresh[instance.id] = instance;
     instance_seen_at_[instance.id] = asked_at;
+    life_seen_at_.try_emplace(instance.worker, asked_at);
   }
   instances_ = std::move(fresh);
   instances_known_ = true;
+  std::erase_if(life_seen_at_, [this](const auto& entry) {
+    return std::none_of(instances_.begin(), instances_.end(),
+                        [&entry](const auto& instance) {
+                          return instance.second.worker == entry.first;
+                        });
+  });
+  if (asked_at - began_at_ > kListLag) ForgetEndedLives();
   std::vector<std::string> over;
   for (auto& [id, op] : instance_ops_) {
     if (!op.accepted || op.accepted_at >= asked_at) continue;
@@ -187,6 +197,16 @@
   }
 }
 
+void PartitionOwner::ForgetEndedLives() {
+  if (unread_workers_.empty()) return;
+  std::set<std::string> living;
+  for (const auto& [id, instance] : instances_) living.insert(instance.worker);
+  const std::set<std::string> unread = unread_workers_;
+  for (const std::string& id : unread) {
+    if (!living.contains(id)) OnWorkerLost(id, "no instance carries it");
+  }
+}
+
 PartitionOwner::WorkerState* PartitionOwner::WorkerOn(
     const Instance& instance) {
   return instance.worker.empty() ? nullptr : FindWorker(instance.worker);
@@ -345,7 +365,11 @@
         SaveWave(op.wave);
       }
       WorkerState* worker = FindWorker(op.worker);
-      if (worker != nullptr) OnWorkerLost(op.worker, "its instance was taken");
+      if (worker != nullptr) {
+        worker->ended = true;
+        OnWorkerLost(op.worker, "its instance was taken");
+        SaveWorkers();
+      }
       return;
     }
     case InstanceResult::kRefused:
@@ -374,13 +398,9 @@
     if (!spec.lasting) continue;
     const StepRecord& step = job->occurrences.at(id.occurrence)
                                  .steps[static_cast<std::size_t>(id.step)];
-    int away = 0;
-    for (const TaskRecord& sibling : step.tasks) {
-      if (sibling.state != TaskState::kRunning ||
-          sibling.percent < kPercentAtWork) {
-        ++away;
-      }
-    }
+    const int away = static_cast<int>(std::count_if(
+        step.tasks.begin(), step.tasks.end(),
+        [this](const TaskRecord& sibling) { return !IsAtWork(sibling); }));
     if (!leaving_soon && away >= std::max(1, spec.max_unavailable.value_or(1))) {
       continue;
     }
@@ -393,6 +413,14 @@
   }
 }
 
+bool PartitionOwner::IsAtWork(const TaskRecord& task) {
+  if (task.state != TaskState::kRunning || task.percent < kPercentAtWork) {
+    return false;
+  }
+  const WorkerState* worker = FindWorker(task.worker);
+  return worker != nullptr && worker->listed && !worker->link->Silent();
+}
+
 bool PartitionOwner::HasRoomElsewhere(const JobRecord& job, const TaskId& id,
                                       const WorkerState& from) {
   const StepSpec& spec = job.spec.steps[static_cast<std::size_t>(id.step)];
@@ -501,12 +529,15 @@
       view.idle = worker == nullptr ? Millis(0) : now - worker->idle_since;
     }
     // An instance that is maintained, drains or does not answer carries nothing
-    // new now.
-    const bool away =
-        (op != instance_ops_.end() && op->second.wave > 0) ||
-        instance.state == InstanceState::kMaintenance ||
-        (worker != nullptr && (worker->entry.draining || !worker->listed ||
-                               worker->link->Silent()));
+    // new now; one whose worker is not known yet is expected to.
+    const bool silent =
+        worker == nullptr
+            ? !instance.worker.empty() &&
+                  now - life_seen_at_[instance.worker] > kLifeAppears
+            : worker->entry.draining || !worker->listed ||
+                  worker->link->Silent();
+    const bool away = (op != instance_ops_.end() && op->second.wave > 0) ||
+                      instance.state == InstanceState::kMaintenance || silent;
     if (!away) state->second.instances.push_back(view);
   }
   std::vector<PoolState> pools;
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -362,6 +362,7 @@
   Json known = Json::object();
   std::vector<std::string> ids;
   for (const auto& [id, worker] : workers_) {
+    if (worker->ended) continue;
     known[id] = worker->link->Address().address;
     ids.push_back(id);
   }
--- a/unittests/Partition/FleetSim.cc
+++ b/unittests/Partition/FleetSim.cc
@@ -223,6 +223,11 @@
                  [this, id] { store_->Remove("workers/" + id); });
 }
 
+void SimFleet::Remove(const std::string& id) {
+  Crash(id);
+  instances_.erase("m-" + id);
+}
+
 void SimFleet::Drain(const std::string& id) { Publish(*Find(id), true); }
 
 SimWorker* SimFleet::Find(const std::string& id) {
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -151,6 +151,8 @@
   std::string AddWorker(const std::string& pool);
   /// The worker's process ends without a word.
   void Crash(const std::string& id);
+  /// The worker ends and its instance leaves for good.
+  void Remove(const std::string& id);
   /// Announces that the worker leaves.
   void Drain(const std::string& id);
   SimWorker* Find(const std::string& id);
--- a/unittests/Partition/OwnerTest.cc
+++ b/unittests/Partition/OwnerTest.cc
@@ -169,5 +169,47 @@
   EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
 }
 
+TEST(OwnerTest, TasksOnASilentWorkerCountAsAwayWhenOthersAreToMove) {
+  FleetSim sim;
+  SetUpFleet(&sim, 4);
+  sim.Submit(LastingJob(4, 1));
+  sim.Run(Millis(1500));
+  ASSERT_EQ(sim.fleet.Running(kJob), 4);
+  const std::vector<std::string> ids = sim.fleet.Ids();
+  sim.fleet.Crash(ids[0]);
+  sim.Run(Millis(3200));
+  for (int i = 0; i < 2; ++i) sim.fleet.AddWorker("pool");
+  sim.owner->SetWave({.number = 1,
+                      .instances = {"m-" + ids[1]},
+                      .ramp_s = 60,
+                      .max_at_once = 2});
+  // The step allows one task to be away, and the crashed worker's is.
+  sim.Run(Millis(700));
+  EXPECT_EQ(sim.fleet.Find(ids[1])->running.size(), 1U);
+  sim.Run(Millis(8000));
+  EXPECT_EQ(sim.fleet.Running(kJob), 4);
+  EXPECT_FALSE(sim.fleet.Find(ids[1])->alive);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
+TEST(OwnerTest, WorkersThatNoInstanceCarriesHoldNothingBackAfterATakeOver) {
+  FleetSim sim;
+  SetUpFleet(&sim, 3);
+  sim.Submit(LastingJob(2, 1));
+  sim.Run(Millis(1000));
+  const std::vector<std::string> ids = sim.fleet.Ids();
+  sim.owner->Close();
+  for (const std::string& id : ids) {
+    if (!sim.fleet.Find(id)->running.empty()) {
+      sim.fleet.Remove(id);
+      break;
+    }
+  }
+  sim.BeginTerm();
+  sim.Run(Millis(3500));
+  EXPECT_EQ(sim.fleet.Running(kJob), 2);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
 }  // namespace
 }  // namespace basilusher
