--- a/include/basilusher/Jobs/JobTable.h
+++ b/include/basilusher/Jobs/JobTable.h
@@ -51,6 +51,8 @@
   /// No start before this time, after a failure or a refused start.
   TimePoint not_before{};
   int percent = 0;
+  /// When `percent` last changed.
+  TimePoint progressed_at{};
   std::int64_t load_figure = 0;
   /// Pace last ordered, percent.
   int pace = 100;
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -22,6 +22,7 @@
 #include "basilusher/Schedule/PoolPlan.h"
 #include "basilusher/Schedule/Urgency.h"
 #include "basilusher/Schedule/WavePlan.h"
+#include "basilusher/Schedule/WorkerTrack.h"
 #include "basilusher/Store/StoreWatcher.h"
 #include "basilusher/Store/TransactionalStore.h"
 
@@ -44,6 +45,8 @@
   std::string final_prefix = "b/final/";
   /// Instances of a maintenance wave that are done.
   std::string wave_prefix = "b/wave/";
+  /// Instances that an owner has ordered lately.
+  std::string orders = "b/orders";
 };
 
 /// Names and formats of the platform's directory, which only the adapter knows.
@@ -83,7 +86,7 @@
   std::int64_t term_revision = 0;
   RecordKeys keys;
   /// Lease of what runs on a worker.
-  Millis task_lease{5000};
+  Millis task_lease{4000};
   /// Final states are shown for at least this long.
   Millis final_retention{150000};
   /// An owner that cannot confirm its term goes on for this long at most.
@@ -151,6 +154,7 @@
     /// Being emptied for a move or maintenance.
     bool reserved = false;
     WorkerSlot slot;
+    WorkerTrack track;
     std::shared_ptr<WorkerLink> link;
     std::set<TaskId> tasks;
     /// Runs listed there that are not this owner's, and when each was told to
@@ -172,6 +176,8 @@
     TimePoint begun_at{};
     TimePoint sent_at{};
     TimePoint accepted_at{};
+    /// The store knows that this owner orders the instance now.
+    bool recorded = false;
     bool in_flight = false;
     bool accepted = false;
   };
@@ -250,6 +256,13 @@
   std::int64_t NextRun(const TaskRecord& task) const;
   void Tick();
 
+  // OwnerStragglers.cc: runs on workers that are slow, stuck or silent.
+  void FindStragglers();
+  RunProgress ProgressOf(const JobRecord& job, const TaskId& id,
+                         const TaskRecord& task);
+  void RestartElsewhere(JobRecord* job, const TaskId& id, TaskRecord* task,
+                        const char* reason);
+
   // OwnerFleet.cc: moves and maintenance of instances.
   void FleetTick();
   void ListInstances();
@@ -265,6 +278,10 @@
   void BeginOp(const Instance& instance, std::int64_t wave,
                const std::string& to_pool);
   void ProgressOp(const std::string& id, InstanceOp* op);
+  /// True if an earlier owner's order for the instance may be too recent.
+  bool OrderedByEarlierOwner(const std::string& instance) const;
+  void LoadOrders();
+  void SaveOrders();
   void CancelOpLater(const std::string& id);
   void OnInstanceResult(const std::string& id, InstanceResult result);
   void EvictLasting(WorkerState* worker, bool leaving_soon);
@@ -307,6 +324,13 @@
   std::map<std::string, ArrivalWindow> arrivals_;
   std::map<std::string, int> pool_surplus_;
   std::map<std::string, TimePoint> surplus_since_;
+  /// Instances that an earlier owner ordered shortly before its end.
+  std::set<std::string> earlier_orders_;
+  /// When this owner ordered each instance last.
+  std::map<std::string, TimePoint> ordered_at_;
+  std::int64_t orders_revision_ = 0;
+  bool orders_loaded_ = false;
+  bool saving_orders_ = false;
   TimePoint listed_at_{};
   TimePoint pools_logged_at_{};
   bool listing_ = false;
--- a/include/basilusher/Partition/WorkerLink.h
+++ b/include/basilusher/Partition/WorkerLink.h
@@ -20,7 +20,7 @@
   /// Fencing tokens begin here and stay below the next owner's.
   std::int64_t first_fence = 0;
   /// Lease given to what runs on the worker.
-  Millis lease{5000};
+  Millis lease{4000};
   /// How long the worker may wait for an end before it answers a look.
   Millis look_wait{1000};
 };
--- a/lib/Jobs/JobTable.cc
+++ b/lib/Jobs/JobTable.cc
@@ -163,6 +163,7 @@
   task->checkpoint = running.checkpoint;
   task->sent_at = now;
   task->started_at = now;
+  task->progressed_at = now;
   ++step->active;
   if (job->state == JobState::kQueued) job->state = JobState::kRunning;
 }
--- a/lib/Node/NodeAgent.cc
+++ b/lib/Node/NodeAgent.cc
@@ -10,9 +10,9 @@
 namespace {
 
 /// A node's lease: an owner that is lost is replaced after about this long.
-constexpr Millis kLeaseTtl{2000};
+constexpr Millis kLeaseTtl{1500};
 /// Renewals leave room for two tries within the lease.
-constexpr Millis kRenewPeriod{500};
+constexpr Millis kRenewPeriod{400};
 constexpr Millis kRenewRetry{100};
 constexpr Millis kControlWait{4000};
 /// The weakest node stands this much later than the strongest.
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -47,6 +47,7 @@
     for (const auto& [id, worker] : workers_) {
       worker->link->SetRenewing(renewing);
     }
+    FindStragglers();
     Dispatch();
   }
   ports_.timers->After(kTickPeriod, [self = shared_from_this()] {
@@ -71,7 +72,12 @@
   const TimePoint now = ports_.clock->Now();
   std::map<std::string, std::vector<WorkerSlot*>> pools;
   for (const auto& [id, worker] : workers_) {
-    if (Usable(*worker)) pools[worker->slot.pool].push_back(&worker->slot);
+    worker->slot.strikes = worker->track.Strikes(now);
+    // A worker that the evidence speaks against gets one task to show itself.
+    const bool shunned =
+        worker->track.Shunned(now) ||
+        (worker->slot.strikes > 0 && worker->slot.tasks > 0);
+    if (Usable(*worker) && !shunned) pools[worker->slot.pool].push_back(&worker->slot);
   }
   struct Candidate {
     Urgency urgency;
@@ -267,6 +273,7 @@
     if (task->state == TaskState::kStarting) {
       task->state = TaskState::kRunning;
       task->started_at = now;
+      task->progressed_at = now;
       if (job->state == JobState::kQueued) job->state = JobState::kRunning;
     }
     return;
--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -20,6 +20,8 @@
 constexpr Millis kMoveGivesUp{3000};
 /// An instance of a wave that the list has not shown for this long is gone.
 constexpr Millis kGoneAfter{6000};
+/// Two nodes' times of day may differ by this much.
+constexpr Millis kClockTolerance{2500};
 /// The list of instances may be this old.
 constexpr Millis kListLag{1000};
 /// A worker appears in the directory this long after its instance at the latest.
@@ -125,10 +127,8 @@
 void PartitionOwner::FleetTick() {
   if (closed_) return;
   const TimePoint now = ports_.clock->Now();
-  // A former owner's last orders must be a lease apart from the first ones of
-  // this owner, and an owner that may have been replaced orders nothing.
-  const bool may_order = loaded_ && catalog_ != nullptr &&
-                         now - began_at_ > options_.holder_lease &&
+  // An owner that may have been replaced orders nothing.
+  const bool may_order = loaded_ && catalog_ != nullptr && orders_loaded_ &&
                          now < listener_.confirmed_until();
   const Millis period =
       instance_ops_.empty() ? kQuietListPeriod : kBusyListPeriod;
@@ -137,6 +137,7 @@
     PlanWaves();
     PlanPools();
     for (auto& [id, op] : instance_ops_) ProgressOp(id, &op);
+    SaveOrders();
   }
   if (loaded_) EvictFromDraining();
   ports_.timers->After(kFleetPeriod, [self = shared_from_this()] {
@@ -251,6 +252,7 @@
         if (op->second.wave > 0) ++state.under_way;
         continue;
       }
+      if (OrderedByEarlierOwner(id)) continue;
       if (it->second.state == InstanceState::kMaintenance) ++state.under_way;
       if (it->second.state != InstanceState::kUp) continue;
       const WorkerState* worker = WorkerOn(it->second);
@@ -318,6 +320,11 @@
     return;
   }
   if (unsure && now - op->sent_at < kOrderAgain) return;
+  if (!op->recorded) {
+    ordered_at_[id] = now;  // SaveOrders makes it durable first
+    return;
+  }
+  ordered_at_[id] = now;
   op->in_flight = true;
   op->sent_at = now;
   const auto done = [self = shared_from_this(), id](InstanceResult result) {
@@ -330,6 +337,82 @@
   }
 }
 
+bool PartitionOwner::OrderedByEarlierOwner(const std::string& instance) const {
+  return ports_.clock->Now() - began_at_ <= options_.holder_lease &&
+         earlier_orders_.contains(instance);
+}
+
+void PartitionOwner::LoadOrders() {
+  ports_.store->Get(
+      options_.keys.orders,
+      [self = shared_from_this()](const StoreAnswer& answer) {
+        if (self->closed_) return;
+        if (answer.status != TxnStatus::kOk &&
+            answer.status != TxnStatus::kNotFound) {
+          self->ports_.timers->After(kOrderAgain, [self] {
+            if (!self->closed_) self->LoadOrders();
+          });
+          return;
+        }
+        if (!answer.items.empty()) {
+          self->orders_revision_ = answer.items.front().revision;
+          const Json in =
+              Json::parse(answer.items.front().value, nullptr, false);
+          const std::int64_t oldest =
+              WallMicros() / 1000 -
+              (self->options_.holder_lease + kClockTolerance).count();
+          if (in.is_object()) {
+            for (const auto& [id, at_unix_ms] : in.items()) {
+              if (at_unix_ms.is_number() && at_unix_ms > oldest) {
+                self->earlier_orders_.insert(id);
+              }
+            }
+          }
+        }
+        self->orders_loaded_ = true;
+      });
+}
+
+void PartitionOwner::SaveOrders() {
+  if (saving_orders_) return;
+  const TimePoint now = ports_.clock->Now();
+  std::vector<std::string> fresh;
+  for (const auto& [id, op] : instance_ops_) {
+    if (!op.recorded && ordered_at_.contains(id)) fresh.push_back(id);
+  }
+  if (fresh.empty()) return;
+  std::erase_if(ordered_at_, [&](const auto& entry) {
+    return now - entry.second > options_.holder_lease + kOrderAgain;
+  });
+  Json recent = Json::object();
+  for (const auto& [id, at] : ordered_at_) {
+    recent[id] = WallMicros() / 1000 - (now - at).count();
+  }
+  Txn txn;
+  txn.conditions.push_back({options_.keys.owner, options_.term_revision});
+  txn.conditions.push_back({options_.keys.orders, orders_revision_});
+  txn.writes.push_back({.key = options_.keys.orders, .value = recent.dump()});
+  saving_orders_ = true;
+  ports_.store->Commit(txn, [self = shared_from_this(),
+                             fresh](const StoreAnswer& answer) {
+    if (self->closed_) return;
+    self->saving_orders_ = false;
+    if (answer.status == TxnStatus::kConflict) {
+      self->TakeRevision(answer, self->options_.keys.orders,
+                         &self->orders_revision_);
+    }
+    if (answer.status != TxnStatus::kOk) return;  // the next tick tries again
+    self->orders_revision_ = answer.revision;
+    if (self->ports_.clock->Now() >= self->listener_.confirmed_until()) return;
+    for (const std::string& id : fresh) {
+      const auto it = self->instance_ops_.find(id);
+      if (it == self->instance_ops_.end()) continue;
+      it->second.recorded = true;
+      self->ProgressOp(id, &it->second);
+    }
+  });
+}
+
 void PartitionOwner::CancelOpLater(const std::string& id) {
   // The map of operations is being walked.
   ports_.timers->After(Millis(0), [self = shared_from_this(), id] {
@@ -524,7 +607,7 @@
     WorkerState* worker = WorkerOn(instance);
     rooms[pool] = instance.room;
     if (op == instance_ops_.end() && instance.state == InstanceState::kUp &&
-        IsEmpty(instance)) {
+        IsEmpty(instance) && !OrderedByEarlierOwner(id)) {
       view.free = true;
       view.idle = worker == nullptr ? Millis(0) : now - worker->idle_since;
     }
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -105,6 +105,7 @@
   LoadProgress();
   LoadFinals();
   LoadWorkers();
+  LoadOrders();
   directory_ = std::make_shared<StoreWatcher>(
       ports_.store, ports_.timers, ports_.clock,
       StoreWatcherOptions{.prefix = ports_.formats->WorkerPrefix(),
--- /dev/null
+++ b/lib/Partition/OwnerStragglers.cc
@@ -0,0 +1,75 @@
+// Runs that would end sooner if they began anew on another worker.
+#include "basilusher/Partition/PartitionOwner.h"
+#include "basilusher/Support/Log.h"
+
+namespace basilusher {
+
+RunProgress PartitionOwner::ProgressOf(const JobRecord& job, const TaskId& id,
+                                       const TaskRecord& task) {
+  const StepSpec& step = job.spec.steps[static_cast<std::size_t>(id.step)];
+  const TimePoint now = ports_.clock->Now();
+  return {.elapsed = now - task.started_at,
+          .percent = task.percent,
+          .unchanged = now - task.progressed_at,
+          .expected_ms = static_cast<double>(step.estimate_ms) *
+                         durations_[job.spec.queue].ratio,
+          .checkpointable = step.checkpointable};
+}
+
+void PartitionOwner::FindStragglers() {
+  if (!MayStart()) return;
+  const TimePoint now = ports_.clock->Now();
+  for (const auto& [worker_id, worker] : workers_) {
+    const bool silent = worker->link->Silent();
+    const int strikes = worker->track.Strikes(now);
+    if (!silent && strikes == 0) continue;
+    const std::set<TaskId> tasks = worker->tasks;
+    for (const TaskId& id : tasks) {
+      JobRecord* job = jobs_.Find(id.job);
+      TaskRecord* task = jobs_.FindTask(id);
+      if (job == nullptr || task == nullptr || IsFinal(job->state) ||
+          task->state != TaskState::kRunning) {
+        continue;
+      }
+      const StepSpec& step =
+          job->spec.steps[static_cast<std::size_t>(id.step)];
+      if (step.lasting || step.gang) continue;
+      if (silent) {
+        // Its leases have to run out before another run may begin, unless
+        // copies are allowed.
+        if (step.speculative) RestartElsewhere(job, id, task, "silent");
+        continue;
+      }
+      const RunProgress progress = ProgressOf(*job, id, *task);
+      if (IsStuck(progress)) {
+        RestartElsewhere(job, id, task, "stuck");
+      } else if (IsWorthMoving(progress)) {
+        RestartElsewhere(job, id, task, "slow");
+      }
+    }
+  }
+}
+
+void PartitionOwner::RestartElsewhere(JobRecord* job, const TaskId& id,
+                                      TaskRecord* task, const char* reason) {
+  WorkerState* worker = FindWorker(task->worker);
+  if (worker == nullptr || !HasRoomElsewhere(*job, id, *worker)) return;
+  LogEvent(LogLevel::kInfo, "run-restarted",
+           {{"task", FormatTaskId(id)},
+            {"run", task->run},
+            {"worker", worker->slot.id},
+            {"reason", reason},
+            {"percent", task->percent},
+            {"slowness", worker->track.Slowness()}});
+  const StepSpec& step = job->spec.steps[static_cast<std::size_t>(id.step)];
+  task->failed_on = worker->slot.id;
+  if (!step.speculative) {
+    StopTask(job, id, task);
+    return;
+  }
+  const std::int64_t run = task->run;
+  ReturnToQueue(job, id);
+  LeaveRun(worker, Charge(step), id, run);
+}
+
+}  // namespace basilusher
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -198,10 +198,21 @@
     if (task->state == TaskState::kStarting) {
       task->state = TaskState::kRunning;
       task->started_at = ports_.clock->Now();
+      task->progressed_at = task->started_at;
       if (job->state == JobState::kQueued) job->state = JobState::kRunning;
     }
     task->checkpoint = running.checkpoint;
+    const TimePoint now = ports_.clock->Now();
+    if (task->percent != running.percent) task->progressed_at = now;
     task->percent = running.percent;
+    const StepSpec& step =
+        job->spec.steps[static_cast<std::size_t>(running.task.step)];
+    if (!step.lasting && task->state == TaskState::kRunning) {
+      const RunProgress progress = ProgressOf(*job, running.task, *task);
+      worker->track.NoteProgress(progress.elapsed, progress.percent,
+                                 progress.expected_ms);
+      if (IsStuck(progress)) worker->track.NoteStuck(now);
+    }
     task->load_figure = running.load_figure;
     return;
   }
@@ -258,6 +269,9 @@
         static_cast<double>((now - task->started_at).count()),
         static_cast<double>(step.estimate_ms));
   }
+  if (end.kind == EndKind::kDone || end.kind == EndKind::kFailed) {
+    worker->track.NoteEnd(end.task.job, end.kind == EndKind::kFailed, now);
+  }
   const std::string holder_id = task->worker;
   const std::int64_t held_run = task->run;
   const bool gang = step.gang;
--- /dev/null
+++ b/lib/Schedule/WorkerTrack.cc
@@ -0,0 +1,87 @@
+// Evidence from results.
+#include "basilusher/Schedule/WorkerTrack.h"
+
+#include <algorithm>
+
+namespace basilusher {
+namespace {
+
+/// Different jobs whose runs failed there since the last good end.
+constexpr std::size_t kFailuresSuspect = 2;
+constexpr std::size_t kFailuresShunned = 3;
+/// Evidence older than this is tested by a probe.
+constexpr Millis kProbeAfter{2500};
+/// Times slower than expected. Estimates alone are off by up to about two.
+constexpr double kSlow = 2.6;
+constexpr double kVerySlow = 3.5;
+constexpr int kSamplesNeeded = 4;
+constexpr double kSampleWeight = 0.25;
+constexpr double kMaxSample = 10.0;
+/// Younger runs show too little progress to judge.
+constexpr Millis kMinElapsed{300};
+/// Progress is shown in whole percent, so even a slow task moves within this.
+constexpr Millis kStuckAfter{900};
+constexpr double kMoveFactor = 1.5;
+constexpr double kMoveOverheadMs = 500.0;
+constexpr int kWholePercent = 100;
+
+}  // namespace
+
+void WorkerTrack::NoteEnd(const std::string& job, bool failed,
+                          TimePoint now) {
+  if (!failed) {
+    failed_jobs_.clear();
+    return;
+  }
+  failed_jobs_.insert(job);
+  last_failure_ = now;
+}
+
+void WorkerTrack::NoteProgress(Millis elapsed, int percent,
+                               double expected_ms) {
+  if (elapsed < kMinElapsed || expected_ms <= 0) return;
+  const double projected = static_cast<double>(elapsed.count()) *
+                           kWholePercent / std::max(percent, 1);
+  const double sample = std::min(projected / expected_ms, kMaxSample);
+  slowness_ += (sample - slowness_) * kSampleWeight;
+  ++samples_;
+}
+
+void WorkerTrack::NoteStuck(TimePoint now) { last_stuck_ = now; }
+
+int WorkerTrack::Strikes(TimePoint now) const {
+  int strikes = 0;
+  if (failed_jobs_.size() >= kFailuresSuspect) ++strikes;
+  if (failed_jobs_.size() >= kFailuresShunned) ++strikes;
+  if (samples_ >= kSamplesNeeded && slowness_ > kSlow) ++strikes;
+  if (samples_ >= kSamplesNeeded && slowness_ > kVerySlow) ++strikes;
+  if (last_stuck_ != TimePoint{} && now - last_stuck_ < kProbeAfter) {
+    strikes += 2;
+  }
+  return strikes;
+}
+
+bool WorkerTrack::Shunned(TimePoint now) const {
+  const bool fails = failed_jobs_.size() >= kFailuresShunned &&
+                     now - last_failure_ < kProbeAfter;
+  const bool stuck =
+      last_stuck_ != TimePoint{} && now - last_stuck_ < kProbeAfter;
+  return fails || stuck;
+}
+
+bool IsStuck(const RunProgress& run) {
+  return run.percent < kWholePercent && run.unchanged > kStuckAfter;
+}
+
+bool IsWorthMoving(const RunProgress& run) {
+  if (run.elapsed < kMinElapsed || run.expected_ms <= 0) return false;
+  const double left = kWholePercent - run.percent;
+  const double projected = static_cast<double>(run.elapsed.count()) * left /
+                           std::max(run.percent, 1);
+  const double anew = run.checkpointable
+                          ? run.expected_ms * left / kWholePercent
+                          : run.expected_ms;
+  return projected > anew * kMoveFactor + kMoveOverheadMs;
+}
+
+}  // namespace basilusher
--- a/unittests/Partition/OwnerTest.cc
+++ b/unittests/Partition/OwnerTest.cc
@@ -196,7 +196,7 @@
   FleetSim sim;
   SetUpFleet(&sim, 3);
   sim.Submit(LastingJob(2, 1));
-  sim.Run(Millis(1000));
+  sim.Run(Millis(300));
   const std::vector<std::string> ids = sim.fleet.Ids();
   sim.owner->Close();
   for (const std::string& id : ids) {
