--- a/include/basilusher/Node/NodeAgent.h
+++ b/include/basilusher/Node/NodeAgent.h
@@ -86,6 +86,8 @@
   std::map<std::string, std::string> peers_;
   std::map<std::int64_t, MaintenanceWave> waves_;
   std::int64_t term_ = 0;
+  /// The last term that this process held and has ended.
+  std::int64_t last_ended_term_ = 0;
   std::int64_t term_key_revision_ = 0;
   std::int64_t lease_ = 0;
   TimePoint confirmed_until_{};
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -280,6 +280,8 @@
   void ProgressOp(const std::string& id, InstanceOp* op);
   /// True if an earlier owner's order for the instance may be too recent.
   bool OrderedByEarlierOwner(const std::string& instance) const;
+  /// True unless the instance is surely not down for its maintenance.
+  bool MayBeDown(const std::string& instance) const;
   void LoadOrders();
   void SaveOrders();
   void CancelOpLater(const std::string& id);
--- a/lib/Node/NodeAgent.cc
+++ b/lib/Node/NodeAgent.cc
@@ -146,6 +146,12 @@
   }
   const bool own_earlier_life = owner_view_.node == options_.node &&
                                 owner_view_.incarnation != options_.incarnation;
+  if (owner_view_.incarnation == options_.incarnation &&
+      owner_view_.term > last_ended_term_) {
+    // Elected by a try whose answer was lost.
+    OnElected(owner_view_.term, owner_view_.revision);
+    return;
+  }
   if (!owner_view_.node.empty() && !own_earlier_life) return;
   election_planned_ = true;
   const double weakness = 1.0 / std::max(0.05, options_.strength) - 1.0;
@@ -271,6 +277,7 @@
   if (owner_ == nullptr) return;
   LogEvent(LogLevel::kWarning, "term-ended",
            {{"term", owner_->Term()}, {"reason", reason}});
+  last_ended_term_ = owner_->Term();
   owner_->Close();
   owner_.reset();
   if (owner_view_.incarnation == options_.incarnation) {
--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -223,6 +223,15 @@
          worker->link->Synced();
 }
 
+bool PartitionOwner::MayBeDown(const std::string& id) const {
+  const auto op = instance_ops_.find(id);
+  const auto instance = instances_.find(id);
+  return (op != instance_ops_.end() && op->second.wave > 0) ||
+         (instance != instances_.end() &&
+          instance->second.state == InstanceState::kMaintenance) ||
+         OrderedByEarlierOwner(id);
+}
+
 void PartitionOwner::PlanWaves() {
   for (auto& [number, progress] : waves_) {
     if (!progress.loaded || progress.finished) continue;
@@ -233,9 +242,7 @@
     bool all_done = true;
     for (const std::string& id : progress.wave.instances) {
       if (progress.done.contains(id)) {
-        const auto op = instance_ops_.find(id);
-        const bool down = op != instance_ops_.end() && op->second.wave > 0;
-        if (down) ++state.under_way;
+        if (MayBeDown(id)) ++state.under_way;
         continue;
       }
       const auto it = instances_.find(id);
@@ -252,7 +259,10 @@
         if (op->second.wave > 0) ++state.under_way;
         continue;
       }
-      if (OrderedByEarlierOwner(id)) continue;
+      if (OrderedByEarlierOwner(id)) {
+        ++state.under_way;
+        continue;
+      }
       if (it->second.state == InstanceState::kMaintenance) ++state.under_way;
       if (it->second.state != InstanceState::kUp) continue;
       const WorkerState* worker = WorkerOn(it->second);
--- a/unittests/Partition/FleetSim.cc
+++ b/unittests/Partition/FleetSim.cc
@@ -657,15 +657,27 @@
                    .term = term_,
                    .term_revision = revision},
       PartitionOwner::Listener{
-          .on_deposed = [this] { deposed = true; },
+          .on_deposed = [this, term = term_] { Depose(term); },
           .confirmed_until =
-              [this] {
-                if (confirmed) confirmed_at_ = timers.Now();
-                return confirmed_at_ + Millis(2000);
+              [this, term = term_] {
+                // Only the present owner can still confirm its term.
+                if (confirmed && term == term_) {
+                  confirmed_at_[term] = timers.Now();
+                }
+                return confirmed_at_[term] + Millis(1500);
               }});
+  owners_[term_] = owner;
   owner->Begin(std::make_shared<Catalog>(catalog));
 }
 
+void FleetSim::Depose(std::int64_t term) {
+  // The owner may be on the call stack.
+  timers.After(Millis(0), [this, term] {
+    const std::shared_ptr<PartitionOwner> old = owners_[term].lock();
+    if (old != nullptr) old->Close();
+  });
+}
+
 void FleetSim::Submit(const JobSpec& job) {
   fleet.Describe(job);
   store.Put(RecordKeys().job_prefix + job.id, EncodeJobSpec(job));
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -254,10 +254,12 @@
   std::vector<std::shared_ptr<PartitionOwner>> former;
   /// Whether the present owner can confirm its term.
   bool confirmed = true;
-  bool deposed = false;
 
  private:
-  TimePoint confirmed_at_{};
+  void Depose(std::int64_t term);
+
+  std::map<std::int64_t, TimePoint> confirmed_at_;
+  std::map<std::int64_t, std::weak_ptr<PartitionOwner>> owners_;
   std::int64_t term_ = 0;
 };
 
--- a/unittests/Partition/OwnerTest.cc
+++ b/unittests/Partition/OwnerTest.cc
@@ -192,6 +192,25 @@
   EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
 }
 
+TEST(OwnerTest, AWaveKeepsItsBoundAcrossATakeOver) {
+  FleetSim sim;
+  for (int i = 0; i < 12; ++i) sim.fleet.AddWorker("pool");
+  MaintenanceWave wave = {.number = 1, .ramp_s = 20, .max_at_once = 3};
+  for (const std::string& id : sim.fleet.Ids()) {
+    wave.instances.push_back("m-" + id);
+  }
+  sim.BeginTerm();
+  sim.owner->SetWave(wave);
+  sim.Run(Millis(700));
+  ASSERT_EQ(sim.fleet.most_in_maintenance, 3);
+  sim.BeginTerm();
+  sim.owner->SetWave(wave);
+  sim.Run(Millis(19000));
+  EXPECT_EQ(sim.fleet.most_in_maintenance, 3);
+  EXPECT_EQ(sim.store.Value("status/1"), "finished");
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
 TEST(OwnerTest, WorkersThatNoInstanceCarriesHoldNothingBackAfterATakeOver) {
   FleetSim sim;
   SetUpFleet(&sim, 3);
