--- a/include/basilusher/Jobs/JobTable.h
+++ b/include/basilusher/Jobs/JobTable.h
@@ -32,18 +32,23 @@
   /// A start was sent and not answered: it may take effect until the worker's
   /// lists, read under a later fencing token, show otherwise.
   bool in_doubt = false;
-  /// This owner has started or adopted a run: no earlier owner's run of the task
-  /// can turn up any more.
+  /// This owner has started or adopted a run: no earlier owner's run of the
+  /// task can turn up any more.
   bool placed_here = false;
   int failures = 0;
-  /// Highest run whose failure has been counted.
-  std::int64_t counted_run = 0;
+  /// The runs that were counted as failures; their ends may be listed again,
+  /// and in any order.
+  std::vector<std::int64_t> failed_runs;
   /// Current run, or the last one.
   std::int64_t run = 0;
   /// Worker of the current run; empty while waiting or done.
   std::string worker;
   /// Worker of the last failed run.
   std::string failed_on;
+  /// Times that a run was given up for being slow or stuck.
+  int restarts = 0;
+  /// The run's speed has been taken as evidence on its worker.
+  bool sampled = false;
   std::string checkpoint;
   /// When the start was sent, and when it was known to have taken effect.
   TimePoint sent_at{};
--- a/include/basilusher/Jobs/Ports.h
+++ b/include/basilusher/Jobs/Ports.h
@@ -228,8 +228,7 @@
  public:
   virtual ~PlacementAdvisor() = default;
   virtual void Advise(const std::string& job, int occurrence, int step,
-                      const std::vector<std::string>& workers,
-                      Millis timeout,
+                      const std::vector<std::string>& workers, Millis timeout,
                       std::function<void(const AdviceAnswer&)> done) = 0;
 };
 
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -25,6 +25,7 @@
 #include "basilusher/Schedule/WorkerTrack.h"
 #include "basilusher/Store/StoreWatcher.h"
 #include "basilusher/Store/TransactionalStore.h"
+#include "basilusher/Support/Counters.h"
 
 namespace basilusher {
 
@@ -77,6 +78,8 @@
   TimerService* timers = nullptr;
   const Clock* clock = nullptr;
   const DirectoryFormats* formats = nullptr;
+  /// May be null, in tests.
+  Counters* counters = nullptr;
 };
 
 struct OwnerOptions {
@@ -295,6 +298,8 @@
   /// Recorded workers that no instance carries any more run nothing.
   void ForgetEndedLives();
 
+  void Count(const char* name, std::int64_t n = 1);
+  void Observe(const char* name, Millis value);
   const QueueConfig* QueueOf(const JobRecord& job) const;
   WorkerState* FindWorker(const std::string& id);
 
--- a/include/basilusher/Schedule/WorkerTrack.h
+++ b/include/basilusher/Schedule/WorkerTrack.h
@@ -19,8 +19,9 @@
   /// the job than of the worker.
   void NoteEnd(const std::string& job, bool failed, TimePoint now);
   /// A running task has done `percent` after `elapsed`; a sound worker was
-  /// expected to need `expected_ms` for all of it.
-  void NoteProgress(Millis elapsed, int percent, double expected_ms);
+  /// expected to need `expected_ms` for all of it. False if it is too early to
+  /// tell.
+  bool NoteProgress(Millis elapsed, int percent, double expected_ms);
   /// A running task has made no progress for a while.
   void NoteStuck(TimePoint now);
 
--- a/include/basilusher/Support/Counters.h
+++ b/include/basilusher/Support/Counters.h
@@ -22,6 +22,9 @@
   void Add(const std::string& name, std::int64_t n = 1);
   /// Sets the gauge called `name`.
   void Set(const std::string& name, std::int64_t value);
+  /// Adds `value` to the histogram called `name`: one cell for each upper
+  /// bound, cumulative, and NAME_count and NAME_sum.
+  void Observe(const std::string& name, std::int64_t value);
   /// Current value of `name`; zero if it was never used.
   std::int64_t Value(const std::string& name) const;
   /// All cells, one "name value" line each, in order of name.
--- a/lib/Jobs/JobCodec.cc
+++ b/lib/Jobs/JobCodec.cc
@@ -65,8 +65,7 @@
     return decode(Json::from_cbor(bytes));
   } catch (const std::exception& error) {
     throw Error(ResultCode::kStoreConflict,
-                std::string("stored job record is malformed: ") +
-                    error.what());
+                std::string("stored job record is malformed: ") + error.what());
   }
 }
 
@@ -83,8 +82,8 @@
         continue;
       }
       if (task.failures > 0 || !task.checkpoint.empty()) {
-        rows.push_back({s, i, task.failures, task.counted_run,
-                        task.checkpoint});
+        rows.push_back(
+            {s, i, task.failures, task.failed_runs, task.checkpoint});
       }
     }
     done.push_back(Json::binary(std::move(bits)));
@@ -113,7 +112,7 @@
     TaskRecord& task = occurrence->steps.at(row.at(0).get<std::size_t>())
                            .tasks.at(row.at(1).get<std::size_t>());
     task.failures = row.at(2).get<int>();
-    task.counted_run = row.at(3).get<std::int64_t>();
+    task.failed_runs = row.at(3).get<std::vector<std::int64_t>>();
     task.checkpoint = row.at(4).get<std::string>();
   }
 }
--- a/lib/Jobs/JobTable.cc
+++ b/lib/Jobs/JobTable.cc
@@ -72,8 +72,7 @@
 EndEffect MarkGangDone(JobRecord* job, const TaskId& id) {
   EndEffect effect = EndEffect::kIgnored;
   TaskId member = id;
-  const int count =
-      job->spec.steps[static_cast<std::size_t>(id.step)].count;
+  const int count = job->spec.steps[static_cast<std::size_t>(id.step)].count;
   for (member.index = 0; member.index < count; ++member.index) {
     StepRecord* step = FindStep(job, member);
     if (step == nullptr) break;
@@ -118,9 +117,8 @@
   if (IsFinal(job->state)) return false;
   const int times = std::max(1, job->spec.times);
   while (job->next_occurrence < times) {
-    const std::int64_t due =
-        job->spec.start_at_unix_ms +
-        job->next_occurrence * job->spec.interval_ms;
+    const std::int64_t due = job->spec.start_at_unix_ms +
+                             job->next_occurrence * job->spec.interval_ms;
     if (job->spec.times > 0 && due > unix_ms) break;
     job->occurrences.emplace(job->next_occurrence, MakeOccurrence(job->spec));
     ++job->next_occurrence;
@@ -145,6 +143,7 @@
   TaskRecord* task = TaskIn(step, id);
   task->state = TaskState::kStarting;
   task->placed_here = true;
+  task->sampled = false;
   task->worker = worker;
   task->run = run;
   task->sent_at = now;
@@ -189,11 +188,13 @@
   }
   // Members of a gang fail together; the first member carries their count.
   TaskRecord* counter = spec.gang ? &step->tasks.front() : task;
-  const bool counts = end.kind == EndKind::kFailed && !spec.lasting &&
-                      end.run > counter->counted_run;
+  const bool counts =
+      end.kind == EndKind::kFailed && !spec.lasting &&
+      std::find(counter->failed_runs.begin(), counter->failed_runs.end(),
+                end.run) == counter->failed_runs.end();
   if (counts) {
     ++counter->failures;
-    counter->counted_run = end.run;
+    counter->failed_runs.push_back(end.run);
     task->failed_on = worker;
   }
   if (!end.checkpoint.empty()) task->checkpoint = end.checkpoint;
--- a/lib/Net/HttpClient.cc
+++ b/lib/Net/HttpClient.cc
@@ -1,6 +1,8 @@
 // HTTP client connections on Boost.Beast.
 #include "basilusher/Net/HttpClient.h"
 
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
 #include <deque>
 #include <map>
 #include <optional>
@@ -8,9 +10,6 @@
 #include "IoLoopImpl.h"
 #include "basilusher/Support/Error.h"
 
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-
 namespace basilusher {
 namespace {
 
@@ -131,8 +130,7 @@
             return self->Finish({.outcome = CallOutcome::kLost}, false,
                                 ec == beast::error::timeout);
           }
-          http::response<http::string_body> message =
-              self->parser_->release();
+          http::response<http::string_body> message = self->parser_->release();
           const bool keep = message.keep_alive();
           self->Finish({.outcome = CallOutcome::kAnswered,
                         .status = static_cast<int>(message.result_int()),
--- a/lib/Net/HttpServer.cc
+++ b/lib/Net/HttpServer.cc
@@ -3,15 +3,14 @@
 
 #include <strings.h>
 
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
 #include <optional>
 #include <set>
 
 #include "IoLoopImpl.h"
 #include "basilusher/Support/Error.h"
 
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-
 namespace basilusher {
 namespace {
 
@@ -24,8 +23,7 @@
 constexpr Millis kAcceptRetryDelay{50};  // after running out of descriptors
 
 bool EqualIgnoreCase(std::string_view a, std::string_view b) {
-  return a.size() == b.size() &&
-         strncasecmp(a.data(), b.data(), a.size()) == 0;
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
 }  // namespace
@@ -105,9 +103,11 @@
   void OnRead(beast::error_code ec) {
     if (ec == http::error::body_limit) return Refuse(413);
     if (ec == http::error::header_limit) return Refuse(431);
-    if (ec && ec.category() == http::make_error_code(http::error::bad_method)
-                                   .category() &&
-        ec != http::error::end_of_stream && ec != http::error::partial_message) {
+    if (ec &&
+        ec.category() ==
+            http::make_error_code(http::error::bad_method).category() &&
+        ec != http::error::end_of_stream &&
+        ec != http::error::partial_message) {
       return Refuse(400);
     }
     if (ec) return Close();
@@ -211,9 +211,9 @@
   if (!ec) shared_->acceptor.bind(endpoint, ec);
   if (!ec) shared_->acceptor.listen(kListenBacklog, ec);
   if (ec) {
-    throw Error(ResultCode::kTransportFailed, "cannot listen on " +
-                                                  shared_->options.address +
-                                                  ": " + ec.message());
+    throw Error(
+        ResultCode::kTransportFailed,
+        "cannot listen on " + shared_->options.address + ": " + ec.message());
   }
   Accept<Shared, Session>(shared_);
 }
--- a/lib/Net/IoLoop.cc
+++ b/lib/Net/IoLoop.cc
@@ -60,8 +60,8 @@
 void IoLoop::OnSignals(std::function<void()> stop,
                        std::function<void()> reload) {
   if (impl_->signals == nullptr) {
-    impl_->signals = std::make_unique<asio::signal_set>(
-        impl_->context, SIGTERM, SIGINT, SIGHUP);
+    impl_->signals = std::make_unique<asio::signal_set>(impl_->context, SIGTERM,
+                                                        SIGINT, SIGHUP);
   }
   impl_->signals->async_wait(
       [this, stop, reload](const boost::system::error_code& ec, int number) {
--- a/lib/Net/IoLoopImpl.h
+++ b/lib/Net/IoLoopImpl.h
@@ -7,14 +7,13 @@
 #include <sys/socket.h>
 
 // Boost 1.74's coroutine header needs std::exchange and does not include it.
-#include <utility>
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "basilusher/Net/IoLoop.h"
 
--- a/lib/Node/CatalogKeeper.cc
+++ b/lib/Node/CatalogKeeper.cc
@@ -25,8 +25,8 @@
 
 CatalogKeeper::CatalogKeeper(TransactionalStore* store, TimerService* timers,
                              const Clock* clock,
-                             const DirectoryFormats* formats,
-                             PeerClient* peers, CatalogListener listener)
+                             const DirectoryFormats* formats, PeerClient* peers,
+                             CatalogListener listener)
     : store_(store),
       timers_(timers),
       clock_(clock),
@@ -76,8 +76,7 @@
 }
 
 bool CatalogKeeper::StoreFresh() const {
-  return watcher_->Loaded() &&
-         clock_->Now() - watcher_->FreshAt() < kFreshFor;
+  return watcher_->Loaded() && clock_->Now() - watcher_->FreshAt() < kFreshFor;
 }
 
 std::shared_ptr<const Catalog> CatalogKeeper::InForce() const {
@@ -110,8 +109,7 @@
              {{"age_ms", (clock_->Now() - watcher_->FreshAt()).count()}});
   }
   if (!fresh) AskPeers();
-  timers_->After(kCheckPeriod,
-                 [self = shared_from_this()] { self->Check(); });
+  timers_->After(kCheckPeriod, [self = shared_from_this()] { self->Check(); });
 }
 
 void CatalogKeeper::AskPeers() {
@@ -137,8 +135,8 @@
 }
 
 void CatalogKeeper::OnPeerStatus(const std::string& node,
-                                 const std::string& address,
-                                 TimePoint asked_at, const Json& status) {
+                                 const std::string& address, TimePoint asked_at,
+                                 const Json& status) {
   const bool fresh = status.value("fresh", false);
   reports_[node] = {.heard_at = asked_at, .fresh = fresh};
   const std::int64_t version = status.value("version", std::int64_t{0});
--- a/lib/Node/JobFront.cc
+++ b/lib/Node/JobFront.cc
@@ -63,8 +63,7 @@
 
 void JobFront::Submit(const JobSpec& job, TimePoint deadline,
                       std::function<void(SubmitResult)> done) {
-  const std::shared_ptr<Submission> submission =
-      std::make_shared<Submission>();
+  const std::shared_ptr<Submission> submission = std::make_shared<Submission>();
   submission->id = job.id;
   submission->record = EncodeJobSpec(job);
   submission->deadline = deadline;
@@ -85,34 +84,34 @@
   Txn txn;
   txn.conditions.push_back({keys_.job_prefix + submission->id, 0});
   txn.conditions.push_back({keys_.final_prefix + submission->id, 0});
-  txn.writes.push_back({.key = keys_.job_prefix + submission->id,
-                        .value = submission->record});
-  ports_.store->Commit(txn, [self = shared_from_this(),
-                             submission](const StoreAnswer& answer) {
-    switch (answer.status) {
-      case TxnStatus::kOk:
-      case TxnStatus::kConflict:
-        // A conflict means that the id is stored already, by an earlier try or
-        // by an earlier submission.
-        submission->done(SubmitResult::kAccepted);
-        return;
-      case TxnStatus::kLost:
-        submission->open_try = true;
-        break;
-      default:
-        ++submission->refusals;
-        if (!submission->open_try && submission->refusals >= kMaxRefusals) {
-          if (!submission->asked_peer && !self->AnyPeer().empty()) {
-            self->SubmitThroughPeer(submission);
-          } else {
-            submission->done(SubmitResult::kRefused);
-          }
-          return;
+  txn.writes.push_back(
+      {.key = keys_.job_prefix + submission->id, .value = submission->record});
+  ports_.store->Commit(
+      txn, [self = shared_from_this(), submission](const StoreAnswer& answer) {
+        switch (answer.status) {
+          case TxnStatus::kOk:
+          case TxnStatus::kConflict:
+            // A conflict means that the id is stored already, by an earlier try
+            // or by an earlier submission.
+            submission->done(SubmitResult::kAccepted);
+            return;
+          case TxnStatus::kLost:
+            submission->open_try = true;
+            break;
+          default:
+            ++submission->refusals;
+            if (!submission->open_try && submission->refusals >= kMaxRefusals) {
+              if (!submission->asked_peer && !self->AnyPeer().empty()) {
+                self->SubmitThroughPeer(submission);
+              } else {
+                submission->done(SubmitResult::kRefused);
+              }
+              return;
+            }
         }
-    }
-    self->ports_.timers->After(
-        kRetryDelay, [self, submission] { self->TrySubmit(submission); });
-  });
+        self->ports_.timers->After(
+            kRetryDelay, [self, submission] { self->TrySubmit(submission); });
+      });
 }
 
 void JobFront::SubmitThroughPeer(
@@ -162,8 +161,7 @@
       remote->address, PeerPaths::kFind, {{"job", job}}, kOwnerTimeout,
       [self = shared_from_this(), job, deadline,
        done = std::move(done)](std::optional<Json> answer) {
-        const FindAnswer found =
-            answer ? DecodeFound(*answer) : FindAnswer{};
+        const FindAnswer found = answer ? DecodeFound(*answer) : FindAnswer{};
         if (found.result == FindResult::kFound) {
           done(found);
           return;
@@ -186,44 +184,42 @@
   };
   // The job's record goes in the same transaction that writes its final state:
   // reading them in this order never misses both.
-  ports_.store->Get(
-      keys_.job_prefix + job,
-      [self = shared_from_this(), job, done, again](const StoreAnswer& a) {
-        if (a.status == TxnStatus::kOk && !a.items.empty()) {
-          try {
-            const JobSpec spec = DecodeJobSpec(a.items.front().value);
-            done({.result = FindResult::kFound,
-                  .job = {.state = JobState::kQueued, .queue = spec.queue}});
-          } catch (const Error& error) {
-            LogEvent(LogLevel::kError, "job-unreadable",
-                     {{"job", job}, {"error", error.what()}});
-            done({.result = FindResult::kUnavailable});
+  ports_.store->Get(keys_.job_prefix + job, [self = shared_from_this(), job,
+                                             done,
+                                             again](const StoreAnswer& a) {
+    if (a.status == TxnStatus::kOk && !a.items.empty()) {
+      try {
+        const JobSpec spec = DecodeJobSpec(a.items.front().value);
+        done({.result = FindResult::kFound,
+              .job = {.state = JobState::kQueued, .queue = spec.queue}});
+      } catch (const Error& error) {
+        LogEvent(LogLevel::kError, "job-unreadable",
+                 {{"job", job}, {"error", error.what()}});
+        done({.result = FindResult::kUnavailable});
+      }
+      return;
+    }
+    if (a.status != TxnStatus::kNotFound) return again();
+    self->ports_.store->Get(
+        self->keys_.final_prefix + job, [done, again](const StoreAnswer& b) {
+          if (b.status == TxnStatus::kNotFound) {
+            done({.result = FindResult::kAbsent});
+            return;
           }
-          return;
-        }
-        if (a.status != TxnStatus::kNotFound) return again();
-        self->ports_.store->Get(
-            self->keys_.final_prefix + job,
-            [done, again](const StoreAnswer& b) {
-              if (b.status == TxnStatus::kNotFound) {
-                done({.result = FindResult::kAbsent});
-                return;
-              }
-              if (b.status != TxnStatus::kOk || b.items.empty()) {
-                return again();
-              }
-              const Json record =
-                  Json::parse(b.items.front().value, nullptr, false);
-              const std::optional<JobState> state =
-                  record.is_object()
-                      ? ValueOf(kJobStateNames, record.value("s", ""))
-                      : std::nullopt;
-              if (!state) return done({.result = FindResult::kUnavailable});
-              done({.result = FindResult::kFound,
-                    .job = {.state = *state,
-                            .queue = record.value("q", "")}});
-            });
-      });
+          if (b.status != TxnStatus::kOk || b.items.empty()) {
+            return again();
+          }
+          const Json record =
+              Json::parse(b.items.front().value, nullptr, false);
+          const std::optional<JobState> state =
+              record.is_object()
+                  ? ValueOf(kJobStateNames, record.value("s", ""))
+                  : std::nullopt;
+          if (!state) return done({.result = FindResult::kUnavailable});
+          done({.result = FindResult::kFound,
+                .job = {.state = *state, .queue = record.value("q", "")}});
+        });
+  });
 }
 
 void JobFront::Cancel(const std::string& job, TimePoint deadline,
@@ -233,17 +229,17 @@
     CancelInStore(job, deadline, std::move(done));
     return;
   }
-  ports_.peers->Call(
-      peer, PeerPaths::kCancel, {{"job", job}}, kPeerTimeout,
-      [self = shared_from_this(), job, deadline,
-       done = std::move(done)](std::optional<Json> answer) {
-        if (answer && answer->contains("known")) {
-          done(answer->value("known", false) ? CancelResult::kDone
-                                             : CancelResult::kAbsent);
-          return;
-        }
-        self->CancelInStore(job, deadline, done);
-      });
+  ports_.peers->Call(peer, PeerPaths::kCancel, {{"job", job}}, kPeerTimeout,
+                     [self = shared_from_this(), job, deadline,
+                      done = std::move(done)](std::optional<Json> answer) {
+                       if (answer && answer->contains("known")) {
+                         done(answer->value("known", false)
+                                  ? CancelResult::kDone
+                                  : CancelResult::kAbsent);
+                         return;
+                       }
+                       self->CancelInStore(job, deadline, done);
+                     });
 }
 
 void JobFront::CancelInStore(const std::string& job, TimePoint deadline,
@@ -258,15 +254,15 @@
     });
   };
   ports_.store->Get(
-      keys_.job_prefix + job,
-      [self = shared_from_this(), job, deadline, done,
-       again](const StoreAnswer& a) {
+      keys_.job_prefix + job, [self = shared_from_this(), job, deadline, done,
+                               again](const StoreAnswer& a) {
         if (a.status == TxnStatus::kNotFound) {
           // Ended or never accepted: tell which.
           self->FindInStore(job, deadline, [done](const FindAnswer& found) {
-            done(found.result == FindResult::kFound    ? CancelResult::kDone
-                 : found.result == FindResult::kAbsent ? CancelResult::kAbsent
-                                                 : CancelResult::kUnavailable);
+            done(found.result == FindResult::kFound ? CancelResult::kDone
+                 : found.result == FindResult::kAbsent
+                     ? CancelResult::kAbsent
+                     : CancelResult::kUnavailable);
           });
           return;
         }
@@ -276,11 +272,10 @@
             {self->keys_.job_prefix + job, a.items.front().revision});
         txn.writes.push_back(
             {.key = self->keys_.cancel_prefix + job, .value = "1"});
-        self->ports_.store->Commit(
-            txn, [done, again](const StoreAnswer& b) {
-              if (b.status == TxnStatus::kOk) return done(CancelResult::kDone);
-              again();
-            });
+        self->ports_.store->Commit(txn, [done, again](const StoreAnswer& b) {
+          if (b.status == TxnStatus::kOk) return done(CancelResult::kDone);
+          again();
+        });
       });
 }
 
@@ -290,8 +285,8 @@
   if (owner != nullptr) return done(owner->Pending(queue));
   const OwnerView* remote = agent_->RemoteOwner();
   if (remote == nullptr) return done(std::nullopt);
-  ports_.peers->Call(remote->address, PeerPaths::kPending,
-                     {{"queue", queue}}, kOwnerTimeout,
+  ports_.peers->Call(remote->address, PeerPaths::kPending, {{"queue", queue}},
+                     kOwnerTimeout,
                      [done = std::move(done)](std::optional<Json> answer) {
                        if (!answer) return done(std::nullopt);
                        done(answer->value("pending", 0));
@@ -339,7 +334,8 @@
     if (self == nullptr || !self->catalogs_->StoreFresh()) {
       return done(std::nullopt);
     }
-    self->CancelInStore(body.at("job"), self->ports_.clock->Now() + kPeerTimeout,
+    self->CancelInStore(body.at("job"),
+                        self->ports_.clock->Now() + kPeerTimeout,
                         [done](CancelResult result) {
                           if (result == CancelResult::kUnavailable) {
                             return done(std::nullopt);
--- a/lib/Node/NodeAgent.cc
+++ b/lib/Node/NodeAgent.cc
@@ -47,38 +47,35 @@
 void NodeAgent::GrantLease() {
   if (stopping_) return;
   const TimePoint sent_at = ports_.clock->Now();
-  ports_.store->GrantLease(
-      kLeaseTtl, [self = shared_from_this(), sent_at](const StoreAnswer& a) {
-        if (a.status != TxnStatus::kOk) {
-          self->ports_.timers->After(kRenewRetry,
-                                     [self] { self->GrantLease(); });
-          return;
-        }
-        self->lease_ = a.revision;
-        self->confirmed_until_ = sent_at + kLeaseTtl;
-        self->Register();
-        self->ConsiderElection();
-        self->ports_.timers->After(kRenewPeriod,
-                                   [self] { self->KeepLease(); });
-      });
+  ports_.store->GrantLease(kLeaseTtl, [self = shared_from_this(),
+                                       sent_at](const StoreAnswer& a) {
+    if (a.status != TxnStatus::kOk) {
+      self->ports_.timers->After(kRenewRetry, [self] { self->GrantLease(); });
+      return;
+    }
+    self->lease_ = a.revision;
+    self->confirmed_until_ = sent_at + kLeaseTtl;
+    self->Register();
+    self->ConsiderElection();
+    self->ports_.timers->After(kRenewPeriod, [self] { self->KeepLease(); });
+  });
 }
 
 void NodeAgent::KeepLease() {
   if (lease_ == 0) return;
   const TimePoint sent_at = ports_.clock->Now();
-  ports_.store->KeepLease(
-      lease_, [self = shared_from_this(), sent_at,
-               lease = lease_](const StoreAnswer& answer) {
-        if (lease != self->lease_) return;
-        if (answer.status == TxnStatus::kNotFound) {
-          self->LoseLease("the lease has ended at the store");
-          return;
-        }
-        const bool kept = answer.status == TxnStatus::kOk;
-        if (kept) self->confirmed_until_ = sent_at + kLeaseTtl;
-        self->ports_.timers->After(kept ? kRenewPeriod : kRenewRetry,
-                                   [self] { self->KeepLease(); });
-      });
+  ports_.store->KeepLease(lease_, [self = shared_from_this(), sent_at,
+                                   lease = lease_](const StoreAnswer& answer) {
+    if (lease != self->lease_) return;
+    if (answer.status == TxnStatus::kNotFound) {
+      self->LoseLease("the lease has ended at the store");
+      return;
+    }
+    const bool kept = answer.status == TxnStatus::kOk;
+    if (kept) self->confirmed_until_ = sent_at + kLeaseTtl;
+    self->ports_.timers->After(kept ? kRenewPeriod : kRenewRetry,
+                               [self] { self->KeepLease(); });
+  });
 }
 
 void NodeAgent::LoseLease(const char* reason) {
@@ -225,15 +222,16 @@
                 // The owner may be on the call stack.
                 const std::shared_ptr<NodeAgent> self = weak.lock();
                 if (self == nullptr) return;
-                self->ports_.timers->After(
-                    Millis(0), [self, owner = self->owner_] {
-                      if (owner == self->owner_) self->Depose("fenced");
-                    });
+                self->ports_.timers->After(Millis(0),
+                                           [self, owner = self->owner_] {
+                                             if (owner == self->owner_)
+                                               self->Depose("fenced");
+                                           });
               },
           .confirmed_until = [this] { return confirmed_until_; }});
-  const OwnerView earlier =
-      owner_view_.node.empty() || owner_view_.term == term ? earlier_owner_
-                                                           : owner_view_;
+  const OwnerView earlier = owner_view_.node.empty() || owner_view_.term == term
+                                ? earlier_owner_
+                                : owner_view_;
   owner_view_ = {.node = options_.node,
                  .address = options_.peer_address,
                  .incarnation = options_.incarnation,
@@ -325,14 +323,14 @@
   if (lease_ == 0) return on_stopped_();
   const std::int64_t lease = lease_;
   lease_ = 0;
-  ports_.store->EndLease(lease, [self = shared_from_this()](
-                                    const StoreAnswer& answer) {
-    if (answer.status != TxnStatus::kOk) {
-      LogEvent(LogLevel::kWarning, "lease-not-ended",
-               {{"status", NameOf(kTxnStatusNames, answer.status)}});
-    }
-    self->on_stopped_();
-  });
+  ports_.store->EndLease(
+      lease, [self = shared_from_this()](const StoreAnswer& answer) {
+        if (answer.status != TxnStatus::kOk) {
+          LogEvent(LogLevel::kWarning, "lease-not-ended",
+                   {{"status", NameOf(kTxnStatusNames, answer.status)}});
+        }
+        self->on_stopped_();
+      });
 }
 
 }  // namespace basilusher
--- a/lib/Node/Peers.cc
+++ b/lib/Node/Peers.cc
@@ -15,33 +15,30 @@
 
 void PeerClient::Call(const std::string& address, const char* path,
                       const Json& body, Millis timeout, PeerCallback done) {
-  http_->Call(
-      address,
-      {.method = "POST",
-       .target = path,
-       .headers = {},
-       .body = body.dump(),
-       .timeout = timeout},
-      [done = std::move(done)](const HttpAnswer& answer) {
-        if (answer.outcome != CallOutcome::kAnswered ||
-            answer.status != kStatusOk) {
-          done(std::nullopt);
-          return;
-        }
-        Json document = Json::parse(answer.body, nullptr, false);
-        if (!document.is_object()) {
-          done(std::nullopt);
-          return;
-        }
-        done(std::move(document));
-      });
+  http_->Call(address,
+              {.method = "POST",
+               .target = path,
+               .headers = {},
+               .body = body.dump(),
+               .timeout = timeout},
+              [done = std::move(done)](const HttpAnswer& answer) {
+                if (answer.outcome != CallOutcome::kAnswered ||
+                    answer.status != kStatusOk) {
+                  done(std::nullopt);
+                  return;
+                }
+                Json document = Json::parse(answer.body, nullptr, false);
+                if (!document.is_object()) {
+                  done(std::nullopt);
+                  return;
+                }
+                done(std::move(document));
+              });
 }
 
 PeerServer::PeerServer(IoLoop* loop, const std::string& address)
-    : server_(loop,
-              {.address = address, .max_body_bytes = kMaxPeerBody},
-              [this](const HttpRequest& request,
-                     const HttpResponder& respond) {
+    : server_(loop, {.address = address, .max_body_bytes = kMaxPeerBody},
+              [this](const HttpRequest& request, const HttpResponder& respond) {
                 Serve(request, respond);
               }) {}
 
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -24,6 +24,14 @@
   return it == catalog_->queues.end() ? nullptr : &it->second;
 }
 
+void PartitionOwner::Count(const char* name, std::int64_t n) {
+  if (ports_.counters != nullptr) ports_.counters->Add(name, n);
+}
+
+void PartitionOwner::Observe(const char* name, Millis value) {
+  if (ports_.counters != nullptr) ports_.counters->Observe(name, value.count());
+}
+
 void PartitionOwner::ScheduleDispatch() {
   if (dispatch_planned_ || closed_) return;
   dispatch_planned_ = true;
@@ -50,9 +58,8 @@
     FindStragglers();
     Dispatch();
   }
-  ports_.timers->After(kTickPeriod, [self = shared_from_this()] {
-    self->Tick();
-  });
+  ports_.timers->After(kTickPeriod,
+                       [self = shared_from_this()] { self->Tick(); });
 }
 
 bool PartitionOwner::MayStart() const {
@@ -74,10 +81,10 @@
   for (const auto& [id, worker] : workers_) {
     worker->slot.strikes = worker->track.Strikes(now);
     // A worker that the evidence speaks against gets one task to show itself.
-    const bool shunned =
-        worker->track.Shunned(now) ||
-        (worker->slot.strikes > 0 && worker->slot.tasks > 0);
-    if (Usable(*worker) && !shunned) pools[worker->slot.pool].push_back(&worker->slot);
+    const bool shunned = worker->track.Shunned(now) ||
+                         (worker->slot.strikes > 0 && worker->slot.tasks > 0);
+    if (Usable(*worker) && !shunned)
+      pools[worker->slot.pool].push_back(&worker->slot);
   }
   struct Candidate {
     Urgency urgency;
@@ -95,14 +102,13 @@
     for (auto& [number, occurrence] : job->occurrences) {
       bool waiting = false;
       for (const StepRecord& step : occurrence.steps) {
-        waiting = waiting || step.done + step.active <
-                                 static_cast<int>(step.tasks.size());
+        waiting = waiting ||
+                  step.done + step.active < static_cast<int>(step.tasks.size());
       }
       if (!waiting) continue;
-      candidates.push_back(
-          {RankJob(*job, occurrence, *queue,
-                   durations_[job->spec.queue].ratio, now),
-           job.get(), number, &slots->second});
+      candidates.push_back({RankJob(*job, occurrence, *queue,
+                                    durations_[job->spec.queue].ratio, now),
+                            job.get(), number, &slots->second});
     }
   }
   std::sort(candidates.begin(), candidates.end(),
@@ -120,11 +126,9 @@
         continue;
       }
       if (candidate.job->spec.steps[s].gang) {
-        PlaceGang(candidate.job, candidate.occurrence, index,
-                  *candidate.slots);
+        PlaceGang(candidate.job, candidate.occurrence, index, *candidate.slots);
       } else {
-        PlaceStep(candidate.job, candidate.occurrence, index,
-                  *candidate.slots);
+        PlaceStep(candidate.job, candidate.occurrence, index, *candidate.slots);
       }
     }
   }
@@ -152,8 +156,8 @@
                                const std::vector<WorkerSlot*>& slots) {
   const TimePoint now = ports_.clock->Now();
   const StepSpec& spec = job->spec.steps[static_cast<std::size_t>(step)];
-  StepRecord& record = job->occurrences.at(occurrence)
-                           .steps[static_cast<std::size_t>(step)];
+  StepRecord& record =
+      job->occurrences.at(occurrence).steps[static_cast<std::size_t>(step)];
   std::map<std::string, int> siblings;
   for (const TaskRecord& task : record.tasks) {
     if (!task.worker.empty()) ++siblings[task.worker];
@@ -193,8 +197,8 @@
                                const std::vector<WorkerSlot*>& slots) {
   const TimePoint now = ports_.clock->Now();
   const StepSpec& spec = job->spec.steps[static_cast<std::size_t>(step)];
-  StepRecord& record = job->occurrences.at(occurrence)
-                           .steps[static_cast<std::size_t>(step)];
+  StepRecord& record =
+      job->occurrences.at(occurrence).steps[static_cast<std::size_t>(step)];
   const bool doubtful =
       job->inherited && !unread_workers_.empty() && now < doubt_until_;
   std::int64_t run = 0;
@@ -244,22 +248,26 @@
   task->in_doubt = false;
   task->started_at = TimePoint{};
   Reserve(worker, job, id);
+  Count("runs_started_total");
+  if (job->state == JobState::kQueued) {
+    Observe("job_wait_ms", now - job->accepted_at);
+  }
   LogEvent(LogLevel::kInfo, "run-start",
            {{"task", FormatTaskId(id)},
             {"run", run},
             {"worker", worker->slot.id},
             {"waited_ms", (now - job->accepted_at).count()},
-            {"free_cpu", worker->slot.room.cpu_millis -
-                             worker->slot.used.cpu_millis}});
-  worker->link->Start({.task = id,
-                       .run = run,
-                       .payload = job->spec.payload,
-                       .checkpoint = task->checkpoint,
-                       .ticket = {}},
-                      [this, id, run, worker_id = worker->slot.id](
-                          OrderResult result) {
-                        OnStartResult(id, run, worker_id, result);
-                      });
+            {"free_cpu",
+             worker->slot.room.cpu_millis - worker->slot.used.cpu_millis}});
+  worker->link->Start(
+      {.task = id,
+       .run = run,
+       .payload = job->spec.payload,
+       .checkpoint = task->checkpoint,
+       .ticket = {}},
+      [this, id, run, worker_id = worker->slot.id](OrderResult result) {
+        OnStartResult(id, run, worker_id, result);
+      });
 }
 
 void PartitionOwner::OnStartResult(const TaskId& id, std::int64_t run,
@@ -278,6 +286,7 @@
     }
     return;
   }
+  Count("runs_not_started_total");
   LogEvent(LogLevel::kWarning, "run-not-started",
            {{"task", FormatTaskId(id)},
             {"run", run},
--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -24,7 +24,8 @@
 constexpr Millis kClockTolerance{2500};
 /// The list of instances may be this old.
 constexpr Millis kListLag{1000};
-/// A worker appears in the directory this long after its instance at the latest.
+/// A worker appears in the directory this long after its instance at the
+/// latest.
 constexpr Millis kLifeAppears{3000};
 constexpr Millis kPoolLogPeriod{1000};
 constexpr int kPercentAtWork = 100;
@@ -68,8 +69,8 @@
             progress.finished = in.value("finished", false);
             const std::int64_t begun =
                 in.value("begun_unix_ms", WallMicros() / 1000);
-            const std::int64_t age = std::max<std::int64_t>(
-                0, WallMicros() / 1000 - begun);
+            const std::int64_t age =
+                std::max<std::int64_t>(0, WallMicros() / 1000 - begun);
             progress.begun_unix_ms = begun;
             progress.deadline = self->ports_.clock->Now() +
                                 Millis(progress.wave.ramp_s * 1000 - age);
@@ -140,25 +141,23 @@
     SaveOrders();
   }
   if (loaded_) EvictFromDraining();
-  ports_.timers->After(kFleetPeriod, [self = shared_from_this()] {
-    self->FleetTick();
-  });
+  ports_.timers->After(kFleetPeriod,
+                       [self = shared_from_this()] { self->FleetTick(); });
 }
 
 void PartitionOwner::ListInstances() {
   listing_ = true;
   const TimePoint asked_at = ports_.clock->Now();
   listed_at_ = asked_at;
-  ports_.instances->List([self = shared_from_this(),
-                          asked_at](const InstanceList& list) {
-    self->listing_ = false;
-    if (self->closed_ || !list.complete) return;
-    self->OnInstances(list, asked_at);
-  });
+  ports_.instances->List(
+      [self = shared_from_this(), asked_at](const InstanceList& list) {
+        self->listing_ = false;
+        if (self->closed_ || !list.complete) return;
+        self->OnInstances(list, asked_at);
+      });
 }
 
-void PartitionOwner::OnInstances(const InstanceList& list,
-                                 TimePoint asked_at) {
+void PartitionOwner::OnInstances(const InstanceList& list, TimePoint asked_at) {
   std::map<std::string, Instance> fresh;
   for (const Instance& instance : list.instances) {
     fresh[instance.id] = instance;
@@ -190,10 +189,10 @@
     if (it->second.state == InstanceState::kUp && new_life) over.push_back(id);
   }
   for (const std::string& id : over) {
-    LogEvent(LogLevel::kInfo, "instance-back",
-             {{"instance", id},
-              {"after_ms",
-               (asked_at - instance_ops_.at(id).accepted_at).count()}});
+    LogEvent(
+        LogLevel::kInfo, "instance-back",
+        {{"instance", id},
+         {"after_ms", (asked_at - instance_ops_.at(id).accepted_at).count()}});
     instance_ops_.erase(id);
   }
 }
@@ -273,9 +272,8 @@
            .spare = pool != catalog_->pools.end() && pool->second.spare,
            .empty = IsEmpty(it->second),
            .dispensable = pool_surplus_[it->second.pool] > 0,
-           .tasks = worker == nullptr
-                        ? 0
-                        : static_cast<int>(worker->tasks.size())});
+           .tasks =
+               worker == nullptr ? 0 : static_cast<int>(worker->tasks.size())});
     }
     if (all_done) {
       progress.finished = true;
@@ -321,8 +319,8 @@
     return;
   }
   if (!unsure && !IsEmpty(it->second)) {
-    if (worker == nullptr || (op->wave == 0 &&
-                              now - op->begun_at > kMoveGivesUp)) {
+    if (worker == nullptr ||
+        (op->wave == 0 && now - op->begun_at > kMoveGivesUp)) {
       CancelOpLater(id);
       return;
     }
@@ -353,34 +351,32 @@
 }
 
 void PartitionOwner::LoadOrders() {
-  ports_.store->Get(
-      options_.keys.orders,
-      [self = shared_from_this()](const StoreAnswer& answer) {
-        if (self->closed_) return;
-        if (answer.status != TxnStatus::kOk &&
-            answer.status != TxnStatus::kNotFound) {
-          self->ports_.timers->After(kOrderAgain, [self] {
-            if (!self->closed_) self->LoadOrders();
-          });
-          return;
-        }
-        if (!answer.items.empty()) {
-          self->orders_revision_ = answer.items.front().revision;
-          const Json in =
-              Json::parse(answer.items.front().value, nullptr, false);
-          const std::int64_t oldest =
-              WallMicros() / 1000 -
-              (self->options_.holder_lease + kClockTolerance).count();
-          if (in.is_object()) {
-            for (const auto& [id, at_unix_ms] : in.items()) {
-              if (at_unix_ms.is_number() && at_unix_ms > oldest) {
-                self->earlier_orders_.insert(id);
-              }
-            }
+  ports_.store->Get(options_.keys.orders, [self = shared_from_this()](
+                                              const StoreAnswer& answer) {
+    if (self->closed_) return;
+    if (answer.status != TxnStatus::kOk &&
+        answer.status != TxnStatus::kNotFound) {
+      self->ports_.timers->After(kOrderAgain, [self] {
+        if (!self->closed_) self->LoadOrders();
+      });
+      return;
+    }
+    if (!answer.items.empty()) {
+      self->orders_revision_ = answer.items.front().revision;
+      const Json in = Json::parse(answer.items.front().value, nullptr, false);
+      const std::int64_t oldest =
+          WallMicros() / 1000 -
+          (self->options_.holder_lease + kClockTolerance).count();
+      if (in.is_object()) {
+        for (const auto& [id, at_unix_ms] : in.items()) {
+          if (at_unix_ms.is_number() && at_unix_ms > oldest) {
+            self->earlier_orders_.insert(id);
           }
         }
-        self->orders_loaded_ = true;
-      });
+      }
+    }
+    self->orders_loaded_ = true;
+  });
 }
 
 void PartitionOwner::SaveOrders() {
@@ -403,24 +399,26 @@
   txn.conditions.push_back({options_.keys.orders, orders_revision_});
   txn.writes.push_back({.key = options_.keys.orders, .value = recent.dump()});
   saving_orders_ = true;
-  ports_.store->Commit(txn, [self = shared_from_this(),
-                             fresh](const StoreAnswer& answer) {
-    if (self->closed_) return;
-    self->saving_orders_ = false;
-    if (answer.status == TxnStatus::kConflict) {
-      self->TakeRevision(answer, self->options_.keys.orders,
-                         &self->orders_revision_);
-    }
-    if (answer.status != TxnStatus::kOk) return;  // the next tick tries again
-    self->orders_revision_ = answer.revision;
-    if (self->ports_.clock->Now() >= self->listener_.confirmed_until()) return;
-    for (const std::string& id : fresh) {
-      const auto it = self->instance_ops_.find(id);
-      if (it == self->instance_ops_.end()) continue;
-      it->second.recorded = true;
-      self->ProgressOp(id, &it->second);
-    }
-  });
+  ports_.store->Commit(
+      txn, [self = shared_from_this(), fresh](const StoreAnswer& answer) {
+        if (self->closed_) return;
+        self->saving_orders_ = false;
+        if (answer.status == TxnStatus::kConflict) {
+          self->TakeRevision(answer, self->options_.keys.orders,
+                             &self->orders_revision_);
+        }
+        if (answer.status != TxnStatus::kOk)
+          return;  // the next tick tries again
+        self->orders_revision_ = answer.revision;
+        if (self->ports_.clock->Now() >= self->listener_.confirmed_until())
+          return;
+        for (const std::string& id : fresh) {
+          const auto it = self->instance_ops_.find(id);
+          if (it == self->instance_ops_.end()) continue;
+          it->second.recorded = true;
+          self->ProgressOp(id, &it->second);
+        }
+      });
 }
 
 void PartitionOwner::CancelOpLater(const std::string& id) {
@@ -441,17 +439,19 @@
   if (it == instance_ops_.end()) return;
   InstanceOp& op = it->second;
   op.in_flight = false;
-  LogEvent(result == InstanceResult::kDone ? LogLevel::kInfo
-                                           : LogLevel::kWarning,
-           op.wave > 0 ? "instance-maintain" : "instance-move",
-           {{"instance", id},
-            {"wave", op.wave},
-            {"to", op.to_pool},
-            {"fence", options_.term},
-            {"result", NameOf(kInstanceResultNames, result)}});
+  LogEvent(
+      result == InstanceResult::kDone ? LogLevel::kInfo : LogLevel::kWarning,
+      op.wave > 0 ? "instance-maintain" : "instance-move",
+      {{"instance", id},
+       {"wave", op.wave},
+       {"to", op.to_pool},
+       {"fence", options_.term},
+       {"result", NameOf(kInstanceResultNames, result)}});
   switch (result) {
     case InstanceResult::kDone: {
       op.accepted = true;
+      Count(op.wave > 0 ? "instances_maintained_total"
+                        : "instances_moved_total");
       op.accepted_at = ports_.clock->Now();
       if (op.wave > 0) {
         waves_.at(op.wave).done.insert(id);
@@ -494,7 +494,8 @@
     const int away = static_cast<int>(std::count_if(
         step.tasks.begin(), step.tasks.end(),
         [this](const TaskRecord& sibling) { return !IsAtWork(sibling); }));
-    if (!leaving_soon && away >= std::max(1, spec.max_unavailable.value_or(1))) {
+    if (!leaving_soon &&
+        away >= std::max(1, spec.max_unavailable.value_or(1))) {
       continue;
     }
     if (!HasRoomElsewhere(*job, id, *worker)) continue;
@@ -522,11 +523,9 @@
   PlacementRequest request;
   request.step = &spec;
   request.siblings = [&step](const WorkerSlot& slot) {
-    return static_cast<int>(
-        std::count_if(step.tasks.begin(), step.tasks.end(),
-                      [&slot](const TaskRecord& task) {
-                        return task.worker == slot.id;
-                      }));
+    return static_cast<int>(std::count_if(
+        step.tasks.begin(), step.tasks.end(),
+        [&slot](const TaskRecord& task) { return task.worker == slot.id; }));
   };
   return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
     const WorkerState& worker = *entry.second;
@@ -562,13 +561,11 @@
           demand.lasting += charge * (waiting + step.active);
         }
         if (spec.max_per_worker > 0 && waiting + step.active > 0) {
-          const int spread =
-              (waiting + step.active + spec.max_per_worker - 1) /
-              spec.max_per_worker;
+          const int spread = (waiting + step.active + spec.max_per_worker - 1) /
+                             spec.max_per_worker;
           demand.distinct_workers = std::max(demand.distinct_workers, spread);
         }
-        if (waiting > 0 &&
-            StepReady(*job, occurrence, static_cast<int>(s))) {
+        if (waiting > 0 && StepReady(*job, occurrence, static_cast<int>(s))) {
           demand.waiting += charge * waiting;
         }
       }
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -13,8 +13,7 @@
 constexpr Millis kDirectoryWait{2000};
 
 std::string EncodeFinal(const JobRecord& job) {
-  return Json({{"s", NameOf(kJobStateNames, job.state)},
-               {"q", job.spec.queue}})
+  return Json({{"s", NameOf(kJobStateNames, job.state)}, {"q", job.spec.queue}})
       .dump();
 }
 
@@ -77,9 +76,9 @@
                 if (job == nullptr) return;
                 job->final_stored = true;
                 job->final_at = ports_.clock->Now();
-                finals_[id] = {.shown = {.state = job->state,
-                                         .queue = job->spec.queue},
-                               .stored_at = job->final_at};
+                finals_[id] = {
+                    .shown = {.state = job->state, .queue = job->spec.queue},
+                    .stored_at = job->final_at};
                 DropIfFinished(id);
               },
           .on_deposed = [this] { listener_.on_deposed(); }});
@@ -126,25 +125,25 @@
 }
 
 void PartitionOwner::LoadProgress() {
-  ports_.store->List(
-      options_.keys.progress_prefix,
-      [self = shared_from_this()](const StoreAnswer& answer) {
-        if (self->closed_) return;
-        if (answer.status != TxnStatus::kOk) {
-          self->ports_.timers->After(kLoadRetryDelay, [self] {
-            if (!self->closed_) self->LoadProgress();
-          });
-          return;
-        }
-        const std::size_t skip = self->options_.keys.progress_prefix.size();
-        for (const StoredItem& item : answer.items) {
-          self->loaded_progress_[item.key.substr(skip)] = item;
-        }
-        self->progress_loaded_ = true;
-        // Jobs are read after their progress: a job whose progress is not
-        // listed has none.
-        self->inbox_->Begin();
-      });
+  ports_.store->List(options_.keys.progress_prefix,
+                     [self = shared_from_this()](const StoreAnswer& answer) {
+                       if (self->closed_) return;
+                       if (answer.status != TxnStatus::kOk) {
+                         self->ports_.timers->After(kLoadRetryDelay, [self] {
+                           if (!self->closed_) self->LoadProgress();
+                         });
+                         return;
+                       }
+                       const std::size_t skip =
+                           self->options_.keys.progress_prefix.size();
+                       for (const StoredItem& item : answer.items) {
+                         self->loaded_progress_[item.key.substr(skip)] = item;
+                       }
+                       self->progress_loaded_ = true;
+                       // Jobs are read after their progress: a job whose
+                       // progress is not listed has none.
+                       self->inbox_->Begin();
+                     });
 }
 
 void PartitionOwner::LoadFinals() {
@@ -171,36 +170,34 @@
 }
 
 void PartitionOwner::LoadWorkers() {
-  ports_.store->Get(
-      options_.keys.workers,
-      [self = shared_from_this()](const StoreAnswer& answer) {
-        if (self->closed_) return;
-        if (answer.status != TxnStatus::kOk &&
-            answer.status != TxnStatus::kNotFound) {
-          self->ports_.timers->After(kLoadRetryDelay, [self] {
-            if (!self->closed_) self->LoadWorkers();
-          });
-          return;
-        }
-        if (!answer.items.empty()) {
-          self->workers_revision_ = answer.items.front().revision;
-        }
-        const Json known =
-            answer.items.empty()
-                ? Json::object()
-                : Json::parse(answer.items.front().value, nullptr, false);
-        if (known.is_object()) {
-          for (const auto& [id, address] : known.items()) {
-            if (!address.is_string()) continue;
-            WorkerState* worker =
-                self->AddWorker(id, address.get<std::string>());
-            worker->recorded = true;
-            if (!worker->link->Synced()) self->unread_workers_.insert(id);
-          }
-        }
-        self->workers_loaded_ = true;
-        self->OnLoaded();
+  ports_.store->Get(options_.keys.workers, [self = shared_from_this()](
+                                               const StoreAnswer& answer) {
+    if (self->closed_) return;
+    if (answer.status != TxnStatus::kOk &&
+        answer.status != TxnStatus::kNotFound) {
+      self->ports_.timers->After(kLoadRetryDelay, [self] {
+        if (!self->closed_) self->LoadWorkers();
       });
+      return;
+    }
+    if (!answer.items.empty()) {
+      self->workers_revision_ = answer.items.front().revision;
+    }
+    const Json known =
+        answer.items.empty()
+            ? Json::object()
+            : Json::parse(answer.items.front().value, nullptr, false);
+    if (known.is_object()) {
+      for (const auto& [id, address] : known.items()) {
+        if (!address.is_string()) continue;
+        WorkerState* worker = self->AddWorker(id, address.get<std::string>());
+        worker->recorded = true;
+        if (!worker->link->Synced()) self->unread_workers_.insert(id);
+      }
+    }
+    self->workers_loaded_ = true;
+    self->OnLoaded();
+  });
 }
 
 void PartitionOwner::OnLoaded() {
@@ -301,6 +298,7 @@
     return;
   }
   if (job == nullptr || IsFinal(job->state)) return;
+  Count("jobs_cancelled_total");
   job->cancelled = true;
   job->state = JobState::kCancelled;
   LogEvent(LogLevel::kInfo, "job-cancelled", {{"job", id}});
@@ -318,8 +316,7 @@
   JobRecord* job = jobs_.Find(id);
   if (job == nullptr || !IsFinal(job->state) || !job->final_stored) return;
   bool active = false;
-  ForEachActive(job,
-                [&active](const TaskId&, TaskRecord*) { active = true; });
+  ForEachActive(job, [&active](const TaskId&, TaskRecord*) { active = true; });
   if (!active) jobs_.Erase(id);
 }
 
@@ -383,11 +380,12 @@
                                 &self->workers_revision_)) {
           return;
         }
-        self->ports_.timers->After(
-            stored ? Millis(0) : kLoadRetryDelay, [self, stored] {
-              self->saving_workers_ = false;
-              if (!stored || self->workers_changed_) self->SaveWorkers();
-            });
+        self->ports_.timers->After(stored ? Millis(0) : kLoadRetryDelay,
+                                   [self, stored] {
+                                     self->saving_workers_ = false;
+                                     if (!stored || self->workers_changed_)
+                                       self->SaveWorkers();
+                                   });
         if (!stored) return;
         for (const std::string& id : ids) {
           WorkerState* worker = self->FindWorker(id);
--- a/lib/Partition/OwnerStragglers.cc
+++ b/lib/Partition/OwnerStragglers.cc
@@ -3,6 +3,12 @@
 #include "basilusher/Support/Log.h"
 
 namespace basilusher {
+namespace {
+
+/// A task that was slow on two workers is slow by itself.
+constexpr int kMaxRestarts = 2;
+
+}  // namespace
 
 RunProgress PartitionOwner::ProgressOf(const JobRecord& job, const TaskId& id,
                                        const TaskRecord& task) {
@@ -31,9 +37,8 @@
           task->state != TaskState::kRunning) {
         continue;
       }
-      const StepSpec& step =
-          job->spec.steps[static_cast<std::size_t>(id.step)];
-      if (step.lasting || step.gang) continue;
+      const StepSpec& step = job->spec.steps[static_cast<std::size_t>(id.step)];
+      if (step.lasting || step.gang || task->restarts >= kMaxRestarts) continue;
       if (silent) {
         // Its leases have to run out before another run may begin, unless
         // copies are allowed.
@@ -63,6 +68,7 @@
             {"slowness", worker->track.Slowness()}});
   const StepSpec& step = job->spec.steps[static_cast<std::size_t>(id.step)];
   task->failed_on = worker->slot.id;
+  ++task->restarts;
   if (!step.speculative) {
     StopTask(job, id, task);
     return;
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -19,8 +19,7 @@
 
 }  // namespace
 
-PartitionOwner::WorkerState* PartitionOwner::FindWorker(
-    const std::string& id) {
+PartitionOwner::WorkerState* PartitionOwner::FindWorker(const std::string& id) {
   const auto it = workers_.find(id);
   return it == workers_.end() ? nullptr : it->second.get();
 }
@@ -44,8 +43,8 @@
                          bool settled) {
                 OnLists(id, answer, sent_at, settled);
               },
-          .on_lost =
-              [this, id](const char* reason) { OnWorkerLost(id, reason); },
+          .on_lost = [this,
+                      id](const char* reason) { OnWorkerLost(id, reason); },
           .on_fenced = [this] { listener_.on_deposed(); }});
   // Lists can be matched only once the jobs are known.
   if (loaded_) slot->link->Begin();
@@ -71,8 +70,7 @@
   const std::optional<WorkerEntry> entry =
       item.removed ? std::nullopt
                    : ports_.formats->DecodeWorker(item.key, item.value);
-  const std::string id =
-      item.key.substr(ports_.formats->WorkerPrefix().size());
+  const std::string id = item.key.substr(ports_.formats->WorkerPrefix().size());
   if (!entry) {
     WorkerState* worker = FindWorker(id);
     if (worker == nullptr || !worker->listed) return;
@@ -84,8 +82,7 @@
     return;
   }
   WorkerState* worker = FindWorker(id);
-  if (worker != nullptr &&
-      worker->link->Address().address != entry->address) {
+  if (worker != nullptr && worker->link->Address().address != entry->address) {
     // The worker has moved; what ran under the old address is another life.
     OnWorkerLost(id, "listed at another address");
     worker->link->Close();
@@ -174,11 +171,10 @@
     for (const EndedTask& end : answer.ended) {
       last = std::max(last, end.number);
     }
-    recorder_->Save(
-        std::vector<std::string>(changed.begin(), changed.end()),
-        [self = shared_from_this(), link = worker->link, last] {
-          if (!self->closed_) link->Acknowledge(last);
-        });
+    recorder_->Save(std::vector<std::string>(changed.begin(), changed.end()),
+                    [self = shared_from_this(), link = worker->link, last] {
+                      if (!self->closed_) link->Acknowledge(last);
+                    });
   }
   ScheduleDispatch();
 }
@@ -209,15 +205,20 @@
         job->spec.steps[static_cast<std::size_t>(running.task.step)];
     if (!step.lasting && task->state == TaskState::kRunning) {
       const RunProgress progress = ProgressOf(*job, running.task, *task);
-      worker->track.NoteProgress(progress.elapsed, progress.percent,
-                                 progress.expected_ms);
+      // Once a run: a long task is no evidence of a slow worker by itself.
+      if (!task->sampled &&
+          worker->track.NoteProgress(progress.elapsed, progress.percent,
+                                     progress.expected_ms)) {
+        task->sampled = true;
+      }
       if (IsStuck(progress)) worker->track.NoteStuck(now);
     }
     task->load_figure = running.load_figure;
     return;
   }
   if (wanted && task->state == TaskState::kWaiting &&
-      running.run > task->counted_run) {
+      std::find(task->failed_runs.begin(), task->failed_runs.end(),
+                running.run) == task->failed_runs.end()) {
     AdoptRun(job, running.task, worker->slot.id, running, ports_.clock->Now());
     Reserve(worker, job, running.task);
     LogEvent(LogLevel::kInfo, "run-adopted",
@@ -276,8 +277,7 @@
   const std::int64_t held_run = task->run;
   const bool gang = step.gang;
   const Resources charge = Charge(step);
-  const int attempts =
-      queue == nullptr ? 1 : std::max(1, queue->max_attempts);
+  const int attempts = queue == nullptr ? 1 : std::max(1, queue->max_attempts);
   const EndEffect effect = ApplyEnd(job, end, id, attempts);
   if (effect == EndEffect::kIgnored) return;
   task = jobs_.FindTask(end.task);
@@ -302,7 +302,13 @@
   }
   if (gang && done) ReleaseGang(job, end.task);
   changed->insert(end.task.job);
+  Count(end.kind == EndKind::kDone     ? "runs_done_total"
+        : end.kind == EndKind::kFailed ? "runs_failed_total"
+                                       : "runs_cut_short_total");
   if (effect == EndEffect::kJobDone || effect == EndEffect::kJobFailed) {
+    Count(effect == EndEffect::kJobDone ? "jobs_succeeded_total"
+                                        : "jobs_failed_total");
+    Observe("job_ms", now - job->accepted_at);
     LogEvent(LogLevel::kInfo, "job-ended",
              {{"job", job->spec.id},
               {"queue", job->spec.queue},
@@ -322,8 +328,7 @@
   StopStranger(worker, task, run);
 }
 
-void PartitionOwner::FreeLeftRuns(WorkerState* worker,
-                                  const HoldAnswer& answer,
+void PartitionOwner::FreeLeftRuns(WorkerState* worker, const HoldAnswer& answer,
                                   TimePoint sent_at) {
   std::erase_if(worker->left, [&](const LeftRun& left) {
     const bool ended = std::any_of(
@@ -356,25 +361,23 @@
   }
 }
 
-void PartitionOwner::FindVanished(WorkerState* worker,
-                                  const HoldAnswer& answer, TimePoint sent_at,
-                                  bool settled) {
+void PartitionOwner::FindVanished(WorkerState* worker, const HoldAnswer& answer,
+                                  TimePoint sent_at, bool settled) {
   std::vector<TaskId> vanished;
   for (const TaskId& id : worker->tasks) {
     TaskRecord* task = jobs_.FindTask(id);
     if (task == nullptr) continue;
-    const bool listed = std::any_of(
-        answer.running.begin(), answer.running.end(),
-        [&](const RunningTask& running) {
-          return running.run == task->run && running.task == id;
-        });
+    const bool listed =
+        std::any_of(answer.running.begin(), answer.running.end(),
+                    [&](const RunningTask& running) {
+                      return running.run == task->run && running.task == id;
+                    });
     if (listed) continue;
     const bool starting = task->state == TaskState::kStarting;
     // A start without an answer is settled only by lists under a later token.
-    const bool over = starting ? settled && task->sent_at < sent_at &&
-                                     task->in_doubt
-                               : task->sent_at < sent_at &&
-                                     task->started_at < sent_at;
+    const bool over =
+        starting ? settled && task->sent_at < sent_at && task->in_doubt
+                 : task->sent_at < sent_at && task->started_at < sent_at;
     if (over) vanished.push_back(id);
   }
   for (const TaskId& id : vanished) {
@@ -393,10 +396,10 @@
 void PartitionOwner::OnWorkerLost(const std::string& id, const char* reason) {
   WorkerState* worker = FindWorker(id);
   if (worker == nullptr) return;
-  LogEvent(LogLevel::kWarning, "worker-lost",
-           {{"worker", id},
-            {"reason", reason},
-            {"tasks", worker->tasks.size()}});
+  Count("workers_lost_total");
+  LogEvent(
+      LogLevel::kWarning, "worker-lost",
+      {{"worker", id}, {"reason", reason}, {"tasks", worker->tasks.size()}});
   const std::set<TaskId> tasks = worker->tasks;
   for (const TaskId& task_id : tasks) {
     JobRecord* job = jobs_.Find(task_id.job);
--- a/lib/Partition/Recorder.cc
+++ b/lib/Partition/Recorder.cc
@@ -190,8 +190,7 @@
     }
     const auto [it, added] = dirty_.try_emplace(row.job);
     if (added) order_.push_back(row.job);
-    it->second.insert(it->second.end(), row.waiters.begin(),
-                      row.waiters.end());
+    it->second.insert(it->second.end(), row.waiters.begin(), row.waiters.end());
   }
   Pump();
 }
--- a/lib/Partition/WorkerLink.cc
+++ b/lib/Partition/WorkerLink.cc
@@ -63,9 +63,9 @@
   const std::int64_t deadline =
       worker_clock_ms_ + elapsed + options_.lease.count();
   max_lease_worker_ms_ = std::max(max_lease_worker_ms_, deadline);
-  lease_end_ = std::max(
-      lease_end_,
-      LeaseSurelyEnded(worker_clock_at_, worker_clock_ms_, deadline));
+  lease_end_ =
+      std::max(lease_end_,
+               LeaseSurelyEnded(worker_clock_at_, worker_clock_ms_, deadline));
   WatchLease();
   return deadline;
 }
--- a/lib/Schedule/Placement.cc
+++ b/lib/Schedule/Placement.cc
@@ -16,8 +16,7 @@
 
 double FreeShare(const WorkerSlot& worker) {
   if (worker.room.cpu_millis <= 0) return 1.0;
-  return static_cast<double>(worker.room.cpu_millis -
-                             worker.used.cpu_millis) /
+  return static_cast<double>(worker.room.cpu_millis - worker.used.cpu_millis) /
          static_cast<double>(worker.room.cpu_millis);
 }
 
--- a/lib/Schedule/PoolPlan.cc
+++ b/lib/Schedule/PoolPlan.cc
@@ -12,7 +12,8 @@
 /// Share of an instance that packing can fill, since tasks vary in size.
 constexpr double kPackingShare = 0.92;
 /// A surplus that has lasted this long is taken for the end of a burst. A round
-/// trip costs about two seconds of an instance's price, and a lull lasts longer.
+/// trip costs about two seconds of an instance's price, and a lull lasts
+/// longer.
 constexpr Millis kRestBeforeSleep{600};
 /// A pool in need takes from pools that have had more than they need for this
 /// long.
@@ -20,8 +21,8 @@
 
 double Share(std::int64_t need, std::int64_t room) {
   if (need <= 0) return 0;
-  return room <= 0 ? 1.0 : static_cast<double>(need) /
-                               static_cast<double>(room);
+  return room <= 0 ? 1.0
+                   : static_cast<double>(need) / static_cast<double>(room);
 }
 
 double LargestShare(const Resources& need, const Resources& room) {
@@ -35,10 +36,10 @@
               const std::string& to, std::vector<InstanceMove>* moves) {
   std::vector<const PoolInstance*> free;
   for (const PoolInstance& instance : pool.instances) {
-    const bool taken = std::any_of(
-        moves->begin(), moves->end(), [&instance](const InstanceMove& move) {
-          return move.instance == instance.id;
-        });
+    const bool taken = std::any_of(moves->begin(), moves->end(),
+                                   [&instance](const InstanceMove& move) {
+                                     return move.instance == instance.id;
+                                   });
     if (instance.free && instance.idle >= min_idle && !taken) {
       free.push_back(&instance);
     }
@@ -49,8 +50,7 @@
                    });
   for (const PoolInstance* instance : free) {
     if (count-- <= 0) return;
-    moves->push_back(
-        {.instance = instance->id, .from = pool.name, .to = to});
+    moves->push_back({.instance = instance->id, .from = pool.name, .to = to});
   }
 }
 
@@ -123,8 +123,7 @@
   if (spare == pools.end()) return moves;
   for (const PoolState& pool : pools) {
     if (pool.spare || pool.surplus_for < kRestBeforeSleep) continue;
-    TakeFree(pool, Surplus(pool, moves), kRestBeforeSleep, spare->name,
-             &moves);
+    TakeFree(pool, Surplus(pool, moves), kRestBeforeSleep, spare->name, &moves);
   }
   return moves;
 }
--- a/lib/Schedule/Urgency.cc
+++ b/lib/Schedule/Urgency.cc
@@ -34,10 +34,9 @@
     for (const int earlier : step.after) {
       begin = std::max(begin, finish[static_cast<std::size_t>(earlier)]);
     }
-    const bool done =
-        occurrence != nullptr &&
-        occurrence->steps[i].done ==
-            static_cast<int>(occurrence->steps[i].tasks.size());
+    const bool done = occurrence != nullptr &&
+                      occurrence->steps[i].done ==
+                          static_cast<int>(occurrence->steps[i].tasks.size());
     const double estimate = step.estimate_ms > 0
                                 ? static_cast<double>(step.estimate_ms)
                                 : kUnknownStepMs;
--- a/lib/Schedule/WorkerTrack.cc
+++ b/lib/Schedule/WorkerTrack.cc
@@ -27,8 +27,7 @@
 
 }  // namespace
 
-void WorkerTrack::NoteEnd(const std::string& job, bool failed,
-                          TimePoint now) {
+void WorkerTrack::NoteEnd(const std::string& job, bool failed, TimePoint now) {
   if (!failed) {
     failed_jobs_.clear();
     return;
@@ -37,14 +36,15 @@
   last_failure_ = now;
 }
 
-void WorkerTrack::NoteProgress(Millis elapsed, int percent,
+bool WorkerTrack::NoteProgress(Millis elapsed, int percent,
                                double expected_ms) {
-  if (elapsed < kMinElapsed || expected_ms <= 0) return;
+  if (elapsed < kMinElapsed || expected_ms <= 0) return false;
   const double projected = static_cast<double>(elapsed.count()) *
                            kWholePercent / std::max(percent, 1);
   const double sample = std::min(projected / expected_ms, kMaxSample);
   slowness_ += (sample - slowness_) * kSampleWeight;
   ++samples_;
+  return true;
 }
 
 void WorkerTrack::NoteStuck(TimePoint now) { last_stuck_ = now; }
--- a/lib/Store/StoreWatcher.cc
+++ b/lib/Store/StoreWatcher.cc
@@ -36,34 +36,34 @@
 
 void StoreWatcher::List() {
   const TimePoint sent_at = clock_->Now();
-  store_->List(options_.prefix, [self = shared_from_this(),
-                                 sent_at](const StoreAnswer& answer) {
-    if (self->closed_) return;
-    if (answer.status != TxnStatus::kOk) return self->Retry();
-    self->failures_ = 0;
-    self->must_list_ = false;
-    self->revision_ = answer.revision;
-    std::set<std::string> present;
-    for (const StoredItem& item : answer.items) {
-      present.insert(item.key);
-      self->Report(item);
-      if (self->closed_) return;
-    }
-    std::vector<std::string> gone;
-    for (const auto& [key, revision] : self->revisions_) {
-      if (!present.contains(key)) gone.push_back(key);
-    }
-    for (const std::string& key : gone) {
-      self->Report({.key = key, .value = {}, .removed = true});
-      if (self->closed_) return;
-    }
-    self->fresh_at_ = sent_at;
-    if (!self->loaded_) {
-      self->loaded_ = true;
-      if (self->listener_.on_loaded) self->listener_.on_loaded();
-    }
-    if (!self->closed_) self->Watch();
-  });
+  store_->List(options_.prefix,
+               [self = shared_from_this(), sent_at](const StoreAnswer& answer) {
+                 if (self->closed_) return;
+                 if (answer.status != TxnStatus::kOk) return self->Retry();
+                 self->failures_ = 0;
+                 self->must_list_ = false;
+                 self->revision_ = answer.revision;
+                 std::set<std::string> present;
+                 for (const StoredItem& item : answer.items) {
+                   present.insert(item.key);
+                   self->Report(item);
+                   if (self->closed_) return;
+                 }
+                 std::vector<std::string> gone;
+                 for (const auto& [key, revision] : self->revisions_) {
+                   if (!present.contains(key)) gone.push_back(key);
+                 }
+                 for (const std::string& key : gone) {
+                   self->Report({.key = key, .value = {}, .removed = true});
+                   if (self->closed_) return;
+                 }
+                 self->fresh_at_ = sent_at;
+                 if (!self->loaded_) {
+                   self->loaded_ = true;
+                   if (self->listener_.on_loaded) self->listener_.on_loaded();
+                 }
+                 if (!self->closed_) self->Watch();
+               });
 }
 
 void StoreWatcher::Watch() {
@@ -90,8 +90,8 @@
 
 void StoreWatcher::Retry() {
   ++failures_;
-  const Millis delay =
-      std::min(kMaxRetryDelay, kFirstRetryDelay * (1 << std::min(failures_, 4)));
+  const Millis delay = std::min(
+      kMaxRetryDelay, kFirstRetryDelay * (1 << std::min(failures_, 4)));
   timers_->After(delay, [self = shared_from_this()] {
     if (self->closed_) return;
     if (self->must_list_) {
--- a/lib/Support/Base64.cc
+++ b/lib/Support/Base64.cc
@@ -22,9 +22,8 @@
   std::string bytes(text.size() / 4 * 3 + 3, '\0');
   std::size_t size = 0;
   const int result = sodium_base642bin(
-      reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(),
-      text.data(), text.size(), nullptr, &size, nullptr,
-      sodium_base64_VARIANT_ORIGINAL);
+      reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(), text.data(),
+      text.size(), nullptr, &size, nullptr, sodium_base64_VARIANT_ORIGINAL);
   if (result != 0) {
     throw Error(ResultCode::kMalformedRequest, "text is not base64");
   }
--- a/lib/Support/Clock.cc
+++ b/lib/Support/Clock.cc
@@ -14,8 +14,8 @@
   constexpr std::int64_t kNanosPerMilli = 1000000;
   timespec time{};
   clock_gettime(CLOCK_BOOTTIME, &time);
-  return TimePoint(Millis(time.tv_sec * kMillisPerSecond +
-                          time.tv_nsec / kNanosPerMilli));
+  return TimePoint(
+      Millis(time.tv_sec * kMillisPerSecond + time.tv_nsec / kNanosPerMilli));
 }
 
 std::int64_t WallMicros() {
--- a/lib/Support/Log4cplusLog.cc
+++ b/lib/Support/Log4cplusLog.cc
@@ -1,4 +1,6 @@
 // Log sink on log4cplus.
+#include "basilusher/Support/Log.h"
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
@@ -8,8 +10,6 @@
 
 #include <memory>
 
-#include "basilusher/Support/Log.h"
-
 namespace basilusher {
 namespace {
 
--- a/lib/Support/StdoutLog.cc
+++ b/lib/Support/StdoutLog.cc
@@ -56,8 +56,7 @@
  private:
   static bool Ready() {
     pollfd descriptor = {.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
-    return poll(&descriptor, 1, 0) == 1 &&
-           (descriptor.revents & POLLOUT) != 0;
+    return poll(&descriptor, 1, 0) == 1 && (descriptor.revents & POLLOUT) != 0;
   }
 
   void ReportOmitted() {
--- a/unittests/Node/NodeAgentTest.cc
+++ b/unittests/Node/NodeAgentTest.cc
@@ -1,9 +1,8 @@
 // Election of the owner.
-#include "basilusher/Node/NodeAgent.h"
-
 #include <gtest/gtest.h>
 
 #include "FleetSim.h"
+#include "basilusher/Node/NodeAgent.h"
 
 namespace basilusher {
 namespace {
@@ -19,9 +18,8 @@
                        .clock = &sim->timers,
                        .formats = &sim->formats},
             &peers,
-            NodeOptions{.node = name,
-                        .incarnation = name + "-1",
-                        .strength = 0.1},
+            NodeOptions{
+                .node = name, .incarnation = name + "-1", .strength = 0.1},
             [sim] { return std::make_shared<Catalog>(sim->catalog); })) {
     agent->Begin();
   }
--- a/unittests/Partition/FleetSim.cc
+++ b/unittests/Partition/FleetSim.cc
@@ -67,9 +67,9 @@
   if (it == items_.end()) {
     return Answer(done, {.status = TxnStatus::kNotFound});
   }
-  Answer(done, {.status = TxnStatus::kOk,
-                .items = {it->second},
-                .revision = revision_});
+  Answer(
+      done,
+      {.status = TxnStatus::kOk, .items = {it->second}, .revision = revision_});
 }
 
 void SimStore::List(const std::string& prefix, StoreAnswerCallback done) {
@@ -182,8 +182,8 @@
     : timers_(timers), store_(store) {}
 
 void SimFleet::Break(const std::string& what) {
-  broken_.push_back(
-      std::to_string(timers_->Now().time_since_epoch().count()) + ": " + what);
+  broken_.push_back(std::to_string(timers_->Now().time_since_epoch().count()) +
+                    ": " + what);
 }
 
 std::string SimFleet::NewWorker(const std::string& pool) {
@@ -219,8 +219,7 @@
   worker->alive = false;
   worker->running.clear();
   worker->ended.clear();
-  timers_->After(Millis(4500),
-                 [this, id] { store_->Remove("workers/" + id); });
+  timers_->After(Millis(4500), [this, id] { store_->Remove("workers/" + id); });
 }
 
 void SimFleet::Remove(const std::string& id) {
@@ -454,8 +453,7 @@
   return answer;
 }
 
-void SimFleet::WaitHold(const std::string& id, HoldOrder order,
-                        TimePoint until,
+void SimFleet::WaitHold(const std::string& id, HoldOrder order, TimePoint until,
                         const std::function<void(const HoldAnswer&)>& done) {
   SimWorker* worker = Find(id);
   if (!worker->alive || worker->fault == SimFault::kSilent) {
@@ -489,10 +487,9 @@
 }
 
 int SimFleet::Done(const std::string& job) const {
-  return static_cast<int>(
-      std::count_if(done_.begin(), done_.end(), [&job](const auto& entry) {
-        return entry.first.job == job;
-      }));
+  return static_cast<int>(std::count_if(
+      done_.begin(), done_.end(),
+      [&job](const auto& entry) { return entry.first.job == job; }));
 }
 
 int SimFleet::Running(const std::string& job) const {
@@ -514,15 +511,14 @@
     list.instances.push_back({.id = id,
                               .pool = instance.pool,
                               .state = instance.state,
-                              .room = {.cpu_millis = 32000,
-                                       .memory_mb = 65536},
+                              .room = {.cpu_millis = 32000, .memory_mb = 65536},
                               .worker = instance.worker});
   }
   timers_->After(kWorkerLatency, [done, list] { done(list); });
 }
 
-void SimFleet::TakeDown(SimInstance* instance, InstanceState state,
-                        Millis time, const std::string& pool) {
+void SimFleet::TakeDown(SimInstance* instance, InstanceState state, Millis time,
+                        const std::string& pool) {
   if (!instance->worker.empty()) {
     SimWorker* worker = Find(instance->worker);
     if (worker != nullptr && worker->alive) {
--- a/unittests/Partition/SequenceTest.cc
+++ b/unittests/Partition/SequenceTest.cc
@@ -41,7 +41,9 @@
   }
 
  private:
-  int Pick(int below) { return static_cast<int>(random_() % static_cast<unsigned>(below)); }
+  int Pick(int below) {
+    return static_cast<int>(random_() % static_cast<unsigned>(below));
+  }
 
   void Step() {
     switch (Pick(14)) {
