--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -13,6 +13,9 @@
 constexpr Millis kTickPeriod{100};
 /// A worker that refused a start gets no other of that task for a while.
 constexpr Millis kRetryAfterRefusal{100};
+/// A job older than this takes suspect workers too; placement still prefers
+/// sound ones. About one objective of a short job.
+constexpr Millis kSoundOnlyFor{2500};
 /// Runs of one term are numbered from (term - 1) times this.
 constexpr std::int64_t kRunsPerTerm = 1000;
 
@@ -78,13 +81,16 @@
   if (!MayStart()) return;
   const TimePoint now = ports_.clock->Now();
   std::map<std::string, std::vector<WorkerSlot*>> pools;
+  std::map<std::string, std::vector<WorkerSlot*>> all_slots;
   for (const auto& [id, worker] : workers_) {
     worker->slot.strikes = worker->track.Strikes(now);
-    // A worker that the evidence speaks against gets one task to show itself.
-    const bool shunned = worker->track.Shunned(now) ||
+    if (!Usable(*worker)) continue;
+    // A worker that the evidence speaks against gets one task to show itself,
+    // and more only where the sound ones have no room for long.
+    const bool suspect = worker->track.Shunned(now) ||
                          (worker->slot.strikes > 0 && worker->slot.tasks > 0);
-    if (Usable(*worker) && !shunned)
-      pools[worker->slot.pool].push_back(&worker->slot);
+    if (!suspect) pools[worker->slot.pool].push_back(&worker->slot);
+    all_slots[worker->slot.pool].push_back(&worker->slot);
   }
   struct Candidate {
     Urgency urgency;
@@ -97,8 +103,10 @@
     if (IsFinal(job->state)) continue;
     const QueueConfig* queue = QueueOf(*job);
     if (queue == nullptr) continue;
-    const auto slots = pools.find(queue->pool);
-    if (slots == pools.end()) continue;
+    const bool long_wait = now - job->accepted_at > kSoundOnlyFor;
+    const auto& choice = long_wait ? all_slots : pools;
+    const auto slots = choice.find(queue->pool);
+    if (slots == choice.end()) continue;
     for (auto& [number, occurrence] : job->occurrences) {
       bool waiting = false;
       for (const StepRecord& step : occurrence.steps) {
--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -625,7 +625,7 @@
             ? !instance.worker.empty() &&
                   now - life_seen_at_[instance.worker] > kLifeAppears
             : worker->entry.draining || !worker->listed ||
-                  worker->link->Silent();
+                  worker->link->Silent() || worker->track.Strikes(now) > 0;
     const bool away = (op != instance_ops_.end() && op->second.wave > 0) ||
                       instance.state == InstanceState::kMaintenance || silent;
     if (!away) state->second.instances.push_back(view);
--- a/unittests/Partition/OwnerTest.cc
+++ b/unittests/Partition/OwnerTest.cc
@@ -192,6 +192,27 @@
   EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
 }
 
+TEST(OwnerTest, AWorkerThatFailsAllIsLeftForOthersAndWorkGoesOn) {
+  FleetSim sim;
+  SetUpFleet(&sim, 2);
+  const std::string bad = sim.fleet.Ids().front();
+  sim.fleet.Find(bad)->fails_all = true;
+  for (int i = 0; i < 12; ++i) {
+    sim.Submit(
+        FleetSim::MakeJob("00000000000000c" + std::to_string(i), 4, 200));
+    sim.Run(Millis(100));
+  }
+  sim.Run(Millis(8000));
+  int succeeded = 0;
+  for (int i = 0; i < 12; ++i) {
+    const JobState state = sim.StateOf("00000000000000c" + std::to_string(i));
+    EXPECT_TRUE(IsFinal(state));
+    succeeded += state == JobState::kSucceeded ? 1 : 0;
+  }
+  EXPECT_EQ(succeeded, 12);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
 TEST(OwnerTest, AWaveKeepsItsBoundAcrossATakeOver) {
   FleetSim sim;
   for (int i = 0; i < 12; ++i) sim.fleet.AddWorker("pool");
