--- a/include/basilusher/Jobs/Catalog.h
+++ b/include/basilusher/Jobs/Catalog.h
@@ -58,8 +58,8 @@
 };
 
 struct HttpLimits {
-  std::size_t max_header_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 256 * 1024;
+  std::size_t max_header_bytes = std::size_t{16} * 1024;
+  std::size_t max_body_bytes = std::size_t{256} * 1024;
   std::int64_t header_timeout_ms = 3000;
   std::int64_t idle_timeout_ms = 15000;
 };
--- a/include/basilusher/Net/HttpClient.h
+++ b/include/basilusher/Net/HttpClient.h
@@ -42,7 +42,7 @@
 struct HttpClientOptions {
   /// Calls beyond this number wait for a connection.
   std::size_t max_connections_per_address = 8;
-  std::size_t max_body_bytes = 8 * 1024 * 1024;
+  std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
   Millis idle_timeout{12000};
 };
 
--- a/include/basilusher/Net/HttpServer.h
+++ b/include/basilusher/Net/HttpServer.h
@@ -43,8 +43,8 @@
 struct HttpServerOptions {
   /// IPv4 address and port, as "10.0.0.1:80".
   std::string address;
-  std::size_t max_header_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 256 * 1024;
+  std::size_t max_header_bytes = std::size_t{16} * 1024;
+  std::size_t max_body_bytes = std::size_t{256} * 1024;
   /// Time to receive a request once its first byte has come, and to send an
   /// answer to a reader that is slow.
   Millis read_timeout{3000};
--- a/lib/Jobs/Job.cc
+++ b/lib/Jobs/Job.cc
@@ -10,7 +10,7 @@
 /// that one job cannot exhaust an entry's memory.
 constexpr int kMaxSteps = 256;
 constexpr int kMaxTasksPerJob = 20000;
-constexpr std::size_t kMaxPayloadBytes = 64 * 1024;
+constexpr std::size_t kMaxPayloadBytes = std::size_t{64} * 1024;
 
 bool ReadInt(std::string_view* text, int* value) {
   const char* begin = text->data();
@@ -108,7 +108,7 @@
   if (job.times < 0 || job.interval_ms < 0) return "negative schedule";
   std::int64_t tasks = 0;
   for (std::size_t i = 0; i < job.steps.size(); ++i) {
-    const std::string problem = CheckStep(job.steps[i], static_cast<int>(i));
+    std::string problem = CheckStep(job.steps[i], static_cast<int>(i));
     if (!problem.empty()) return problem;
     tasks += job.steps[i].count;
   }
--- a/lib/Net/HttpServer.cc
+++ b/lib/Net/HttpServer.cc
@@ -19,6 +19,9 @@
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusTooLarge = 413;
+constexpr int kStatusHeadersTooLarge = 431;
 constexpr int kListenBacklog = 1024;
 constexpr Millis kAcceptRetryDelay{50};  // after running out of descriptors
 
@@ -101,14 +104,21 @@
   }
 
   void OnRead(beast::error_code ec) {
-    if (ec == http::error::body_limit) return Refuse(413);
-    if (ec == http::error::header_limit) return Refuse(431);
-    if (ec &&
+    if (ec == http::error::body_limit) {
+      Refuse(kStatusTooLarge);
+      return;
+    }
+    if (ec == http::error::header_limit) {
+      Refuse(kStatusHeadersTooLarge);
+      return;
+    }
+    const bool malformed =
         ec.category() ==
-            http::make_error_code(http::error::bad_method).category() &&
-        ec != http::error::end_of_stream &&
+        http::make_error_code(http::error::bad_method).category();
+    if (ec && malformed && ec != http::error::end_of_stream &&
         ec != http::error::partial_message) {
-      return Refuse(400);
+      Refuse(kStatusBadRequest);
+      return;
     }
     if (ec) return Close();
     http::request<http::string_body> message = parser_->release();
--- a/lib/Net/IoLoop.cc
+++ b/lib/Net/IoLoop.cc
@@ -3,6 +3,7 @@
 
 #include <signal.h>
 
+#include <cstdint>
 #include <cstdlib>
 
 #include "IoLoopImpl.h"
@@ -26,9 +27,10 @@
   if (colon != std::string::npos) {
     ip = asio::ip::make_address_v4(address.substr(0, colon), ec);
   }
-  const long port = colon == std::string::npos
-                        ? 0
-                        : std::strtol(address.c_str() + colon + 1, nullptr, 10);
+  const std::int64_t port =
+      colon == std::string::npos
+          ? 0
+          : std::strtol(address.c_str() + colon + 1, nullptr, 10);
   if (ec || port <= 0 || port > 65535) {
     throw Error(ResultCode::kTransportFailed,
                 "malformed address '" + address + "'");
--- a/lib/Node/NodeAgent.cc
+++ b/lib/Node/NodeAgent.cc
@@ -224,8 +224,9 @@
                 if (self == nullptr) return;
                 self->ports_.timers->After(Millis(0),
                                            [self, owner = self->owner_] {
-                                             if (owner == self->owner_)
+                                             if (owner == self->owner_) {
                                                self->Depose("fenced");
+                                             }
                                            });
               },
           .confirmed_until = [this] { return confirmed_until_; }});
--- a/lib/Node/Peers.cc
+++ b/lib/Node/Peers.cc
@@ -5,7 +5,7 @@
 namespace {
 
 /// Largest body between nodes: a configuration with room to grow.
-constexpr std::size_t kMaxPeerBody = 4 * 1024 * 1024;
+constexpr std::size_t kMaxPeerBody = std::size_t{4} * 1024 * 1024;
 constexpr int kStatusOk = 200;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -221,6 +221,7 @@
   trial.reserve(slots.size());
   for (const WorkerSlot* slot : slots) trial.push_back(*slot);
   std::vector<WorkerSlot*> trial_slots;
+  trial_slots.reserve(trial.size());
   for (WorkerSlot& slot : trial) trial_slots.push_back(&slot);
   std::map<std::string, int> siblings;
   PlacementRequest request;
--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -407,11 +407,11 @@
           self->TakeRevision(answer, self->options_.keys.orders,
                              &self->orders_revision_);
         }
-        if (answer.status != TxnStatus::kOk)
-          return;  // the next tick tries again
+        // The next tick tries again.
+        if (answer.status != TxnStatus::kOk) return;
         self->orders_revision_ = answer.revision;
-        if (self->ports_.clock->Now() >= self->listener_.confirmed_until())
-          return;
+        const TimePoint until = self->listener_.confirmed_until();
+        if (self->ports_.clock->Now() >= until) return;
         for (const std::string& id : fresh) {
           const auto it = self->instance_ops_.find(id);
           if (it == self->instance_ops_.end()) continue;
@@ -466,9 +466,8 @@
       return;
     }
     case InstanceResult::kRefused:
-      // Nothing was done; it is tried again unless an earlier try is open.
-      return;
     case InstanceResult::kUnknown:
+      // Tried again; the order may have been carried out.
       return;
     case InstanceResult::kFenced:
       listener_.on_deposed();
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -383,8 +383,9 @@
         self->ports_.timers->After(stored ? Millis(0) : kLoadRetryDelay,
                                    [self, stored] {
                                      self->saving_workers_ = false;
-                                     if (!stored || self->workers_changed_)
+                                     if (!stored || self->workers_changed_) {
                                        self->SaveWorkers();
+                                     }
                                    });
         if (!stored) return;
         for (const std::string& id : ids) {
--- a/lib/Support/StdoutLog.cc
+++ b/lib/Support/StdoutLog.cc
@@ -14,7 +14,7 @@
 /// PIPE_BUF on Linux).
 constexpr std::size_t kAtomicWrite = 4096;
 /// Lines kept while the reader is slow.
-constexpr std::size_t kMaxBuffered = 64 * 1024;
+constexpr std::size_t kMaxBuffered = std::size_t{64} * 1024;
 /// Informational lines beyond this rate are left out; far above a busy node's.
 constexpr int kMaxInfoPerSecond = 2000;
 
