--- /dev/null
+++ b/lib/Partition/OwnerPools.cc
@@ -0,0 +1,194 @@
+// Needs of pools, and lasting tasks that make room for them.
+#include <algorithm>
+
+#include "basilusher/Partition/PartitionOwner.h"
+#include "basilusher/Support/Log.h"
+
+namespace basilusher {
+namespace {
+
+/// A worker appears in the directory this long after its instance at the
+/// latest.
+constexpr Millis kLifeAppears{3000};
+constexpr Millis kPoolLogPeriod{1000};
+/// A lasting task is at work when its worker shows this.
+constexpr int kPercentAtWork = 100;
+
+}  // namespace
+
+void PartitionOwner::EvictLasting(WorkerState* worker, bool leaving_soon) {
+  const std::set<TaskId> tasks = worker->tasks;
+  for (const TaskId& id : tasks) {
+    JobRecord* job = jobs_.Find(id.job);
+    TaskRecord* task = jobs_.FindTask(id);
+    if (task == nullptr || task->state != TaskState::kRunning) continue;
+    const StepSpec& spec = job->spec.steps[static_cast<std::size_t>(id.step)];
+    if (!spec.lasting) continue;
+    const StepRecord& step = job->occurrences.at(id.occurrence)
+                                 .steps[static_cast<std::size_t>(id.step)];
+    const int away = static_cast<int>(std::count_if(
+        step.tasks.begin(), step.tasks.end(),
+        [this](const TaskRecord& sibling) { return !IsAtWork(sibling); }));
+    if (!leaving_soon &&
+        away >= std::max(1, spec.max_unavailable.value_or(1))) {
+      continue;
+    }
+    if (!HasRoomElsewhere(*job, id, *worker)) continue;
+    LogEvent(LogLevel::kInfo, "task-evicted",
+             {{"task", FormatTaskId(id)},
+              {"worker", worker->slot.id},
+              {"away", away}});
+    StopTask(job, id, task);
+  }
+}
+
+bool PartitionOwner::IsAtWork(const TaskRecord& task) {
+  if (task.state != TaskState::kRunning || task.percent < kPercentAtWork) {
+    return false;
+  }
+  const WorkerState* worker = FindWorker(task.worker);
+  return worker != nullptr && worker->listed && !worker->link->Silent();
+}
+
+bool PartitionOwner::HasRoomElsewhere(const JobRecord& job, const TaskId& id,
+                                      const WorkerState& from) {
+  const StepSpec& spec = job.spec.steps[static_cast<std::size_t>(id.step)];
+  const StepRecord& step = job.occurrences.at(id.occurrence)
+                               .steps[static_cast<std::size_t>(id.step)];
+  PlacementRequest request;
+  request.step = &spec;
+  request.siblings = [&step](const WorkerSlot& slot) {
+    return static_cast<int>(std::count_if(
+        step.tasks.begin(), step.tasks.end(),
+        [&slot](const TaskRecord& task) { return task.worker == slot.id; }));
+  };
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+    const WorkerState& worker = *entry.second;
+    return &worker != &from && worker.slot.pool == from.slot.pool &&
+           Usable(worker) && CanPlace(request, worker.slot);
+  });
+}
+
+void PartitionOwner::EvictFromDraining() {
+  for (const auto& [id, worker] : workers_) {
+    if (worker->listed && worker->entry.draining && !worker->tasks.empty() &&
+        worker->link->Ready()) {
+      EvictLasting(worker.get(), /*leaving_soon=*/true);
+    }
+  }
+}
+
+PoolDemand PartitionOwner::DemandOf(const std::string& pool) {
+  PoolDemand demand;
+  for (const auto& [id, job] : jobs_.All()) {
+    const QueueConfig* queue = QueueOf(*job);
+    if (queue == nullptr || queue->pool != pool) continue;
+    for (const auto& [number, occurrence] : job->occurrences) {
+      for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+        const StepRecord& step = occurrence.steps[s];
+        const StepSpec& spec = job->spec.steps[s];
+        const Resources charge = Charge(spec);
+        demand.running += charge * step.active;
+        if (IsFinal(job->state)) continue;
+        const int waiting =
+            static_cast<int>(step.tasks.size()) - step.done - step.active;
+        if (spec.lasting) {
+          demand.lasting += charge * (waiting + step.active);
+        }
+        if (spec.max_per_worker > 0 && waiting + step.active > 0) {
+          const int spread = (waiting + step.active + spec.max_per_worker - 1) /
+                             spec.max_per_worker;
+          demand.distinct_workers = std::max(demand.distinct_workers, spread);
+        }
+        if (waiting > 0 && StepReady(*job, occurrence, static_cast<int>(s))) {
+          demand.waiting += charge * waiting;
+        }
+      }
+    }
+  }
+  demand.arriving_cores = arrivals_[pool].BusyCores(ports_.clock->Now());
+  return demand;
+}
+
+void PartitionOwner::LogPool(const PoolState& pool,
+                             const PoolDemand& demand) const {
+  int free = 0;
+  int arriving = 0;
+  for (const PoolInstance& instance : pool.instances) {
+    free += instance.free ? 1 : 0;
+    arriving += instance.arriving ? 1 : 0;
+  }
+  LogEvent(LogLevel::kInfo, "pool",
+           {{"pool", pool.name},
+            {"instances", pool.instances.size()},
+            {"free", free},
+            {"arriving", arriving},
+            {"needed", pool.needed},
+            {"running_cpu", demand.running.cpu_millis},
+            {"waiting_cpu", demand.waiting.cpu_millis},
+            {"lasting_cpu", demand.lasting.cpu_millis},
+            {"arriving_cores", static_cast<int>(demand.arriving_cores)}});
+}
+
+void PartitionOwner::PlanPools() {
+  const TimePoint now = ports_.clock->Now();
+  std::map<std::string, PoolState> states;
+  std::map<std::string, Resources> rooms;
+  for (const auto& [name, pool] : catalog_->pools) {
+    states[name] = {.name = name, .spare = pool.spare};
+  }
+  for (const auto& [id, instance] : instances_) {
+    const auto op = instance_ops_.find(id);
+    const bool moving = op != instance_ops_.end() && op->second.wave == 0;
+    const std::string& pool = moving ? op->second.to_pool : instance.pool;
+    const auto state = states.find(pool);
+    if (state == states.end() || instance.state == InstanceState::kDown) {
+      continue;
+    }
+    PoolInstance view{.id = id, .arriving = moving};
+    WorkerState* worker = WorkerOn(instance);
+    rooms[pool] = instance.room;
+    if (op == instance_ops_.end() && instance.state == InstanceState::kUp &&
+        IsEmpty(instance) && !OrderedByEarlierOwner(id)) {
+      view.free = true;
+      view.idle = worker == nullptr ? Millis(0) : now - worker->idle_since;
+    }
+    // An instance that is maintained, drains or does not answer carries nothing
+    // new now; one whose worker is not known yet is expected to.
+    const bool silent =
+        worker == nullptr
+            ? !instance.worker.empty() &&
+                  now - life_seen_at_[instance.worker] > kLifeAppears
+            : worker->entry.draining || !worker->listed ||
+                  worker->link->Silent() || worker->track.Strikes(now) > 0;
+    const bool away = (op != instance_ops_.end() && op->second.wave > 0) ||
+                      instance.state == InstanceState::kMaintenance || silent;
+    if (!away) state->second.instances.push_back(view);
+  }
+  std::vector<PoolState> pools;
+  for (auto& [name, state] : states) {
+    if (!state.spare) {
+      const Resources room =
+          rooms.contains(name) ? rooms[name] : Resources{.cpu_millis = 1};
+      const PoolDemand demand = DemandOf(name);
+      state.needed = InstancesNeeded(demand, room);
+      if (now - pools_logged_at_ >= kPoolLogPeriod) {
+        LogPool(state, demand);
+      }
+      const int surplus =
+          static_cast<int>(state.instances.size()) - state.needed;
+      pool_surplus_[name] = surplus;
+      TimePoint& since = surplus_since_[name];
+      if (surplus <= 0) since = TimePoint{};
+      if (surplus > 0 && since == TimePoint{}) since = now;
+      state.surplus_for = surplus > 0 ? now - since : Millis(0);
+    }
+    pools.push_back(std::move(state));
+  }
+  if (now - pools_logged_at_ >= kPoolLogPeriod) pools_logged_at_ = now;
+  for (const InstanceMove& move : PlanMoves(pools)) {
+    BeginOp(instances_.at(move.instance), 0, move.to);
+  }
+}
+
+}  // namespace basilusher
--- /dev/null
+++ b/lib/Partition/OwnerWaves.cc
@@ -0,0 +1,176 @@
+// Maintenance waves: what is due, what is done and what may be down.
+#include <algorithm>
+
+#include "basilusher/Partition/PartitionOwner.h"
+#include "basilusher/Support/Json.h"
+#include "basilusher/Support/Log.h"
+
+namespace basilusher {
+namespace {
+
+/// Between tries to read or write a wave's record.
+constexpr Millis kRecordAgain{500};
+/// An instance of a wave that the list has not shown for this long is gone.
+constexpr Millis kGoneAfter{6000};
+
+}  // namespace
+
+void PartitionOwner::SetWave(const MaintenanceWave& wave) {
+  if (waves_.contains(wave.number)) return;
+  WaveProgress& progress = waves_[wave.number];
+  progress.wave = wave;
+  progress.deadline = ports_.clock->Now() + Millis(wave.ramp_s * 1000);
+  LogEvent(LogLevel::kInfo, "wave",
+           {{"wave", wave.number},
+            {"instances", wave.instances.size()},
+            {"ramp_s", wave.ramp_s},
+            {"max_at_once", wave.max_at_once}});
+  LoadWave(wave.number);
+}
+
+void PartitionOwner::LoadWave(std::int64_t number) {
+  ports_.store->Get(
+      options_.keys.wave_prefix + std::to_string(number),
+      [self = shared_from_this(), number](const StoreAnswer& answer) {
+        if (self->closed_) return;
+        if (answer.status != TxnStatus::kOk &&
+            answer.status != TxnStatus::kNotFound) {
+          self->ports_.timers->After(kRecordAgain, [self, number] {
+            if (!self->closed_) self->LoadWave(number);
+          });
+          return;
+        }
+        WaveProgress& progress = self->waves_[number];
+        if (!answer.items.empty()) {
+          progress.revision = answer.items.front().revision;
+          const Json in =
+              Json::parse(answer.items.front().value, nullptr, false);
+          if (in.is_object()) {
+            for (const Json& id : in.value("done", Json::array())) {
+              progress.done.insert(id.get<std::string>());
+            }
+            progress.finished = in.value("finished", false);
+            const std::int64_t begun =
+                in.value("begun_unix_ms", WallMicros() / 1000);
+            const std::int64_t age =
+                std::max<std::int64_t>(0, WallMicros() / 1000 - begun);
+            progress.begun_unix_ms = begun;
+            progress.deadline = self->ports_.clock->Now() +
+                                Millis(progress.wave.ramp_s * 1000 - age);
+          }
+        }
+        if (progress.begun_unix_ms == 0) {
+          progress.begun_unix_ms = WallMicros() / 1000;
+        }
+        progress.loaded = true;
+        self->SaveWave(number);
+      });
+}
+
+void PartitionOwner::SaveWave(std::int64_t number) {
+  WaveProgress& progress = waves_.at(number);
+  if (progress.saving) {
+    progress.changed = true;
+    return;
+  }
+  progress.saving = true;
+  progress.changed = false;
+  Txn txn;
+  txn.conditions.push_back({options_.keys.owner, options_.term_revision});
+  const std::string key = options_.keys.wave_prefix + std::to_string(number);
+  txn.conditions.push_back({key, progress.revision});
+  txn.writes.push_back(
+      {.key = key,
+       .value = Json({{"done", progress.done},
+                      {"finished", progress.finished},
+                      {"begun_unix_ms", progress.begun_unix_ms}})
+                    .dump()});
+  txn.writes.push_back(
+      {.key = ports_.formats->WaveStatusKey(number),
+       .value = ports_.formats->EncodeWaveStatus(progress.finished)});
+  ports_.store->Commit(
+      txn, [self = shared_from_this(), number, key](const StoreAnswer& answer) {
+        if (self->closed_) return;
+        const bool stored = answer.status == TxnStatus::kOk;
+        std::int64_t& revision = self->waves_.at(number).revision;
+        if (stored) revision = answer.revision;
+        if (answer.status == TxnStatus::kConflict &&
+            !self->TakeRevision(answer, key, &revision)) {
+          return;
+        }
+        self->ports_.timers->After(
+            stored ? Millis(0) : kRecordAgain, [self, number, stored] {
+              if (self->closed_) return;
+              WaveProgress& wave = self->waves_.at(number);
+              wave.saving = false;
+              if (!stored || wave.changed) self->SaveWave(number);
+            });
+      });
+}
+
+bool PartitionOwner::MayBeDown(const std::string& id) const {
+  const auto op = instance_ops_.find(id);
+  const auto instance = instances_.find(id);
+  return (op != instance_ops_.end() && op->second.wave > 0) ||
+         (instance != instances_.end() &&
+          instance->second.state == InstanceState::kMaintenance) ||
+         OrderedByEarlierOwner(id);
+}
+
+void PartitionOwner::PlanWaves() {
+  for (auto& [number, progress] : waves_) {
+    if (!progress.loaded || progress.finished) continue;
+    const TimePoint now = ports_.clock->Now();
+    WaveState state;
+    state.max_at_once = progress.wave.max_at_once;
+    state.time_left = progress.deadline - now;
+    bool all_done = true;
+    for (const std::string& id : progress.wave.instances) {
+      if (progress.done.contains(id)) {
+        if (MayBeDown(id)) ++state.under_way;
+        continue;
+      }
+      const auto it = instances_.find(id);
+      if (it == instances_.end()) {
+        const auto seen = instance_seen_at_.find(id);
+        const TimePoint last =
+            seen == instance_seen_at_.end() ? began_at_ : seen->second;
+        if (now - last < kGoneAfter) all_done = false;
+        continue;
+      }
+      all_done = false;
+      const auto op = instance_ops_.find(id);
+      if (op != instance_ops_.end()) {
+        if (op->second.wave > 0) ++state.under_way;
+        continue;
+      }
+      if (OrderedByEarlierOwner(id)) {
+        ++state.under_way;
+        continue;
+      }
+      if (it->second.state == InstanceState::kMaintenance) ++state.under_way;
+      if (it->second.state != InstanceState::kUp) continue;
+      const WorkerState* worker = WorkerOn(it->second);
+      const auto pool = catalog_->pools.find(it->second.pool);
+      state.due.push_back(
+          {.id = id,
+           .pool = it->second.pool,
+           .spare = pool != catalog_->pools.end() && pool->second.spare,
+           .empty = IsEmpty(it->second),
+           .dispensable = pool_surplus_[it->second.pool] > 0,
+           .tasks =
+               worker == nullptr ? 0 : static_cast<int>(worker->tasks.size())});
+    }
+    if (all_done) {
+      progress.finished = true;
+      LogEvent(LogLevel::kInfo, "wave-finished", {{"wave", number}});
+      SaveWave(number);
+      continue;
+    }
+    for (const std::string& id : PlanWave(state)) {
+      BeginOp(instances_.at(id), number, {});
+    }
+  }
+}
+
+}  // namespace basilusher
--- /dev/null
+++ b/unittests/Partition/SimFleet.cc
@@ -0,0 +1,426 @@
+// Fake workers and instances.
+#include <algorithm>
+
+#include "FleetSim.h"
+#include "basilusher/Support/Json.h"
+
+namespace basilusher {
+namespace {
+
+constexpr Millis kWorkerLatency{1};
+constexpr Millis kCallTimeout{450};
+constexpr Millis kLateBy{2500};
+constexpr Millis kStopTime{100};
+constexpr Millis kStartup{300};
+constexpr Millis kMoveTime{1500};
+constexpr Millis kMaintenanceTime{2000};
+constexpr std::int64_t kMaxLeaseMs = 10000;
+/// A start after this long past an acknowledged cancellation is unasked.
+constexpr Millis kCancelBound{3000};
+
+}  // namespace
+
+// Workers.
+
+SimFleet::SimFleet(SimTimers* timers, SimStore* store)
+    : timers_(timers), store_(store) {}
+
+void SimFleet::Break(const std::string& what) {
+  broken_.push_back(std::to_string(timers_->Now().time_since_epoch().count()) +
+                    ": " + what);
+}
+
+std::string SimFleet::NewWorker(const std::string& pool) {
+  std::unique_ptr<SimWorker> worker = std::make_unique<SimWorker>();
+  worker->id = "w" + std::to_string(next_id_++);
+  worker->pool = pool;
+  worker->born_at = timers_->Now();
+  const std::string id = worker->id;
+  Publish(*worker, false);
+  workers_[id] = std::move(worker);
+  return id;
+}
+
+std::string SimFleet::AddWorker(const std::string& pool) {
+  const std::string id = NewWorker(pool);
+  const std::string instance = "m-" + id;
+  instances_[instance] = {.id = instance, .pool = pool, .worker = id};
+  return id;
+}
+
+void SimFleet::Publish(const SimWorker& worker, bool draining) {
+  store_->Put("workers/" + worker.id,
+              Json({{"pool", worker.pool},
+                    {"cpu", worker.room.cpu_millis},
+                    {"memory", worker.room.memory_mb},
+                    {"draining", draining},
+                    {"born", worker.born_at.time_since_epoch().count()}})
+                  .dump());
+}
+
+void SimFleet::Crash(const std::string& id) {
+  SimWorker* worker = Find(id);
+  worker->alive = false;
+  worker->running.clear();
+  worker->ended.clear();
+  timers_->After(Millis(4500), [this, id] { store_->Remove("workers/" + id); });
+}
+
+void SimFleet::Remove(const std::string& id) {
+  Crash(id);
+  instances_.erase("m-" + id);
+}
+
+void SimFleet::Drain(const std::string& id) { Publish(*Find(id), true); }
+
+SimWorker* SimFleet::Find(const std::string& id) {
+  const auto it = workers_.find(id);
+  return it == workers_.end() ? nullptr : it->second.get();
+}
+
+std::vector<std::string> SimFleet::Ids() const {
+  std::vector<std::string> ids;
+  for (const auto& [id, worker] : workers_) {
+    if (worker->alive) ids.push_back(id);
+  }
+  return ids;
+}
+
+void SimFleet::Describe(const JobSpec& job) { jobs_[job.id] = job; }
+
+void SimFleet::NoteCancelled(const std::string& job) {
+  cancelled_[job] = timers_->Now();
+}
+
+std::int64_t SimFleet::ClockOf(const SimWorker& worker) const {
+  return (timers_->Now() - worker.born_at).count();
+}
+
+void SimFleet::EndRun(SimWorker* worker, const TaskId& task, EndKind kind) {
+  const SimWorker::Run run = worker->running.at(task);
+  worker->running.erase(task);
+  worker->ended.push_back({.number = ++worker->last_number,
+                           .task = task,
+                           .run = run.run,
+                           .kind = kind,
+                           .checkpoint = run.checkpoint});
+  worker->highest_run[task] = std::max(worker->highest_run[task], run.run);
+  if (kind == EndKind::kDone) done_[task] = run.run;
+}
+
+void SimFleet::Advance(SimWorker* worker) {
+  const TimePoint now = timers_->Now();
+  const bool lapsed = ClockOf(*worker) > worker->lease_ms;
+  std::vector<std::pair<TaskId, EndKind>> ends;
+  for (const auto& [task, run] : worker->running) {
+    if (run.ends_at <= now && !worker->hangs) {
+      ends.emplace_back(task, run.stopping ? EndKind::kStopped : run.kind);
+    } else if (run.stopping && run.ends_at <= now) {
+      ends.emplace_back(task, EndKind::kStopped);
+    } else if (lapsed) {
+      ends.emplace_back(task, EndKind::kLapsed);
+    }
+  }
+  for (const auto& [task, kind] : ends) EndRun(worker, task, kind);
+}
+
+void SimFleet::CheckStart(const SimWorker& worker, const StartOrder& order,
+                          const StepSpec& step) {
+  const TaskId& task = order.task;
+  const std::string name = FormatTaskId(task);
+  if (!step.speculative) {
+    for (const auto& [id, other] : workers_) {
+      if (!other->alive) continue;
+      Advance(other.get());
+      if (other->running.contains(task)) {
+        Break("twice: " + name + " on " + worker.id + " and " + id);
+      }
+    }
+    if (acknowledged_.contains(task)) Break("started after done: " + name);
+  }
+  if (failed_acknowledged_[task] >= 3) Break("over the attempts: " + name);
+  for (const int earlier : step.after) {
+    const int count =
+        jobs_.at(task.job).steps[static_cast<std::size_t>(earlier)].count;
+    for (int i = 0; i < count; ++i) {
+      if (!done_.contains({.job = task.job,
+                           .occurrence = task.occurrence,
+                           .step = earlier,
+                           .index = i})) {
+        Break("out of order: " + name);
+        return;
+      }
+    }
+  }
+  const auto cancelled = cancelled_.find(task.job);
+  if (cancelled != cancelled_.end() &&
+      timers_->Now() - cancelled->second > kCancelBound) {
+    Break("started after its cancellation: " + name);
+  }
+}
+
+OrderResult SimFleet::DoStart(SimWorker* worker, const StartOrder& order) {
+  if (!worker->alive) return OrderResult::kUnknown;
+  Advance(worker);
+  if (order.fence < worker->fence) return OrderResult::kFenced;
+  worker->fence = order.fence;
+  const auto running = worker->running.find(order.task);
+  if (running != worker->running.end() && running->second.run == order.run) {
+    return OrderResult::kDone;
+  }
+  if (order.run <= worker->highest_run[order.task]) {
+    return OrderResult::kSuperseded;
+  }
+  if (order.lease_worker_ms <= ClockOf(*worker)) return OrderResult::kLate;
+  worker->lease_ms =
+      std::max(worker->lease_ms,
+               std::min(order.lease_worker_ms, ClockOf(*worker) + kMaxLeaseMs));
+  const auto job = jobs_.find(order.task.job);
+  if (job == jobs_.end()) {
+    Break("unasked: " + FormatTaskId(order.task));
+    return OrderResult::kMalformed;
+  }
+  const StepSpec& step =
+      job->second.steps[static_cast<std::size_t>(order.task.step)];
+  CheckStart(*worker, order, step);
+  Resources used = Charge(step);
+  for (const auto& [task, run] : worker->running) used += run.charge;
+  if (!Fits(used, worker->room)) {
+    Break("over the room of " + worker->id + ": " + FormatTaskId(order.task));
+  }
+  ++starts_;
+  const TimePoint now = timers_->Now();
+  worker->running[order.task] = {
+      .run = order.run,
+      .begun_at = now,
+      .ends_at = step.lasting ? now + Millis(100000000)
+                              : now + Millis(step.estimate_ms),
+      .kind = worker->fails_all ? EndKind::kFailed : EndKind::kDone,
+      .charge = Charge(step)};
+  return OrderResult::kDone;
+}
+
+template <typename Result>
+void SimFleet::Deliver(SimFault fault, std::function<Result()> effect,
+                       std::function<void(Result)> done, Result refused,
+                       Result unknown) {
+  switch (fault) {
+    case SimFault::kNone:
+      timers_->After(kWorkerLatency, [this, effect, done] {
+        const Result result = effect();
+        timers_->After(kWorkerLatency, [done, result] { done(result); });
+      });
+      return;
+    case SimFault::kRefuse:
+      timers_->After(kWorkerLatency, [done, refused] { done(refused); });
+      return;
+    case SimFault::kAnswerLost:
+      timers_->After(kWorkerLatency, [effect] { effect(); });
+      break;
+    case SimFault::kLate:
+      timers_->After(kLateBy, [effect] { effect(); });
+      break;
+    case SimFault::kSilent:
+      break;
+  }
+  timers_->After(kCallTimeout, [done, unknown] { done(unknown); });
+}
+
+void SimFleet::Start(const WorkerAddress& address, const StartOrder& order,
+                     std::function<void(OrderResult)> done) {
+  SimWorker* worker = Find(address.id);
+  const SimFault fault = worker->alive ? worker->fault : SimFault::kSilent;
+  Deliver<OrderResult>(
+      fault, [this, worker, order] { return DoStart(worker, order); }, done,
+      OrderResult::kUnhealthy, OrderResult::kUnknown);
+}
+
+void SimFleet::Stop(const WorkerAddress& address, const TaskId& task,
+                    std::int64_t run, std::int64_t fence,
+                    std::function<void(OrderResult)> done) {
+  SimWorker* worker = Find(address.id);
+  const SimFault fault = worker->alive ? worker->fault : SimFault::kSilent;
+  Deliver<OrderResult>(
+      fault,
+      [this, worker, task, run, fence] {
+        if (!worker->alive) return OrderResult::kUnknown;
+        Advance(worker);
+        if (fence < worker->fence) return OrderResult::kFenced;
+        worker->fence = fence;
+        worker->highest_run[task] = std::max(worker->highest_run[task], run);
+        const auto it = worker->running.find(task);
+        if (it != worker->running.end() && it->second.run <= run &&
+            !it->second.stopping) {
+          it->second.stopping = true;
+          it->second.ends_at = timers_->Now() + kStopTime;
+        }
+        return OrderResult::kDone;
+      },
+      done, OrderResult::kUnhealthy, OrderResult::kUnknown);
+}
+
+void SimFleet::Pace(const WorkerAddress&, const TaskId&, std::int64_t, int,
+                    std::int64_t, std::function<void(OrderResult)> done) {
+  timers_->After(kWorkerLatency, [done] { done(OrderResult::kDone); });
+}
+
+HoldAnswer SimFleet::DoHold(SimWorker* worker, const HoldOrder& order) {
+  Advance(worker);
+  HoldAnswer answer;
+  if (order.fence < worker->fence) {
+    answer.result = OrderResult::kFenced;
+    return answer;
+  }
+  worker->fence = order.fence;
+  if (order.lease_worker_ms > 0) {
+    worker->lease_ms = std::max(
+        worker->lease_ms,
+        std::min(order.lease_worker_ms, ClockOf(*worker) + kMaxLeaseMs));
+  }
+  std::erase_if(worker->ended, [&](const EndedTask& end) {
+    if (end.number > order.seen_up_to) return false;
+    if (end.kind == EndKind::kDone) acknowledged_.insert(end.task);
+    if (end.kind == EndKind::kFailed) ++failed_acknowledged_[end.task];
+    return true;
+  });
+  answer.result = OrderResult::kDone;
+  answer.worker_clock_ms = ClockOf(*worker);
+  answer.born_unix_ms = worker->born_at.time_since_epoch().count();
+  for (const auto& [task, run] : worker->running) {
+    const bool at_work = timers_->Now() - run.begun_at > kStartup;
+    answer.running.push_back({.task = task,
+                              .run = run.run,
+                              .checkpoint = run.checkpoint,
+                              .percent = at_work ? 100 : 0});
+  }
+  answer.ended = worker->ended;
+  return answer;
+}
+
+void SimFleet::WaitHold(const std::string& id, HoldOrder order, TimePoint until,
+                        const std::function<void(const HoldAnswer&)>& done) {
+  SimWorker* worker = Find(id);
+  if (!worker->alive || worker->fault == SimFault::kSilent) {
+    timers_->After(kCallTimeout, [done] { done({}); });
+    return;
+  }
+  const HoldAnswer answer = DoHold(worker, order);
+  if (answer.result != OrderResult::kDone || !answer.ended.empty() ||
+      timers_->Now() >= until) {
+    timers_->After(kWorkerLatency, [done, answer] { done(answer); });
+    return;
+  }
+  timers_->After(Millis(10), [this, id, order, until, done] {
+    WaitHold(id, order, until, done);
+  });
+}
+
+void SimFleet::Hold(const WorkerAddress& address, const HoldOrder& order,
+                    std::function<void(const HoldAnswer&)> done) {
+  SimWorker* worker = Find(address.id);
+  if (worker->fault == SimFault::kAnswerLost) {
+    timers_->After(kWorkerLatency, [this, worker, order] {
+      if (worker->alive) DoHold(worker, order);
+    });
+    timers_->After(kCallTimeout, [done] { done({}); });
+    return;
+  }
+  timers_->After(kWorkerLatency, [this, id = address.id, order, done] {
+    WaitHold(id, order, timers_->Now() + order.wait, done);
+  });
+}
+
+int SimFleet::Done(const std::string& job) const {
+  return static_cast<int>(std::count_if(
+      done_.begin(), done_.end(),
+      [&job](const auto& entry) { return entry.first.job == job; }));
+}
+
+int SimFleet::Running(const std::string& job) const {
+  int count = 0;
+  for (const auto& [id, worker] : workers_) {
+    for (const auto& [task, run] : worker->running) {
+      if (task.job == job) ++count;
+    }
+  }
+  return count;
+}
+
+// Instances.
+
+void SimFleet::List(std::function<void(const InstanceList&)> done) {
+  InstanceList list;
+  list.complete = true;
+  for (const auto& [id, instance] : instances_) {
+    list.instances.push_back({.id = id,
+                              .pool = instance.pool,
+                              .state = instance.state,
+                              .room = {.cpu_millis = 32000, .memory_mb = 65536},
+                              .worker = instance.worker});
+  }
+  timers_->After(kWorkerLatency, [done, list] { done(list); });
+}
+
+void SimFleet::TakeDown(SimInstance* instance, InstanceState state, Millis time,
+                        const std::string& pool) {
+  if (!instance->worker.empty()) {
+    SimWorker* worker = Find(instance->worker);
+    if (worker != nullptr && worker->alive) {
+      Advance(worker);
+      if (!worker->running.empty()) {
+        Break("instance " + instance->id + " taken with tasks");
+      }
+      Crash(instance->worker);
+    }
+  }
+  instance->worker.clear();
+  instance->state = state;
+  instance->pool = pool;
+  timers_->After(time, [this, id = instance->id] {
+    SimInstance& back = instances_.at(id);
+    if (back.state == InstanceState::kMaintenance) --in_maintenance_;
+    back.state = InstanceState::kUp;
+    if (back.pool != "spare") back.worker = NewWorker(back.pool);
+  });
+}
+
+void SimFleet::Move(const std::string& id, const std::string& pool,
+                    std::int64_t fence,
+                    std::function<void(InstanceResult)> done) {
+  SimInstance& instance = instances_.at(id);
+  InstanceResult result = InstanceResult::kDone;
+  if (fence < instance.fence) {
+    result = InstanceResult::kFenced;
+  } else if (instance.state != InstanceState::kUp) {
+    result = InstanceResult::kBusy;
+  } else if (instance.pool != pool) {
+    ++moves;
+    TakeDown(&instance, InstanceState::kMoving, kMoveTime, pool);
+  }
+  instance.fence = std::max(instance.fence, fence);
+  timers_->After(kWorkerLatency, [done, result] { done(result); });
+}
+
+void SimFleet::Maintain(const std::string& id, std::int64_t wave,
+                        std::int64_t fence,
+                        std::function<void(InstanceResult)> done) {
+  SimInstance& instance = instances_.at(id);
+  InstanceResult result = InstanceResult::kDone;
+  if (fence < instance.fence) {
+    result = InstanceResult::kFenced;
+  } else if (instance.waves.contains(wave)) {
+    result = InstanceResult::kDone;
+  } else if (instance.state != InstanceState::kUp) {
+    result = InstanceResult::kBusy;
+  } else {
+    instance.waves.insert(wave);
+    ++in_maintenance_;
+    most_in_maintenance = std::max(most_in_maintenance, in_maintenance_);
+    TakeDown(&instance, InstanceState::kMaintenance, kMaintenanceTime,
+             instance.pool);
+  }
+  instance.fence = std::max(instance.fence, fence);
+  timers_->After(kWorkerLatency, [done, result] { done(result); });
+}
+
+}  // namespace basilusher
