--- a/lib/Net/HttpServer.cc
+++ b/lib/Net/HttpServer.cc
@@ -124,11 +124,11 @@
     http::request<http::string_body> message = parser_->release();
     keep_alive_ = message.keep_alive();
     HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
+    request.method = message.method_string().to_string();
+    request.target = message.target().to_string();
     for (const auto& field : message) {
-      request.headers.emplace_back(std::string(field.name_string()),
-                                   std::string(field.value()));
+      request.headers.emplace_back(field.name_string().to_string(),
+                                   field.value().to_string());
     }
     request.body = std::move(message.body());
     ++shared_->in_progress;
--- a/unittests/Partition/SimFleet.cc
+++ b/unittests/Partition/SimFleet.cc
@@ -35,14 +35,14 @@
   worker->id = "w" + std::to_string(next_id_++);
   worker->pool = pool;
   worker->born_at = timers_->Now();
-  const std::string id = worker->id;
+  std::string id = worker->id;
   Publish(*worker, false);
   workers_[id] = std::move(worker);
   return id;
 }
 
 std::string SimFleet::AddWorker(const std::string& pool) {
-  const std::string id = NewWorker(pool);
+  std::string id = NewWorker(pool);
   const std::string instance = "m-" + id;
   instances_[instance] = {.id = instance, .pool = pool, .worker = id};
   return id;
