Log what an owner reads, drops and acknowledges

An end that was acknowledged too early and a task that was started before its worker was read left the same lines: none. Now worker-read, worker-dropped and ends-stored tell them apart, run-ended gives the end's number, and run-start shows whether the job was inherited and how many workers were unread; histogram end_stored_ms.

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -232,6 +232,8 @@
   void DropWorker(const std::string& id);
   void OnLists(const std::string& id, const HoldAnswer& answer,
                TimePoint sent_at, bool settled);
+  void OnEndsStored(const std::string& worker, std::int64_t number,
+                    TimePoint listed_at);
   void OnRunning(WorkerState* worker, const RunningTask& running);
   void StopStranger(WorkerState* worker, const TaskId& task, std::int64_t run);
   void OnEnded(WorkerState* worker, const EndedTask& end,
--- a/include/basilusher/Partition/WorkerLink.h
+++ b/include/basilusher/Partition/WorkerLink.h
@@ -80,7 +80,8 @@
   bool Silent() const { return silent_; }
   /// Time until which something started before may still run there.
   TimePoint LeaseEnd() const { return lease_end_; }
-  std::int64_t LastEnd() const { return last_end_; }
+  /// Ends that the worker has listed and still keeps.
+  std::int64_t UnacknowledgedEnds() const { return last_end_ - acknowledged_; }
   const WorkerAddress& Address() const { return address_; }
 
  private:
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -296,6 +296,8 @@
            {{"task", FormatTaskId(id)},
             {"run", run},
             {"worker", worker->slot.id},
+            {"inherited", job->inherited},
+            {"unread", unread_workers_.size()},
             {"waited_ms", (now - job->accepted_at).count()},
             {"free_cpu",
              worker->slot.room.cpu_millis - worker->slot.used.cpu_millis}});
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -57,6 +57,10 @@
 void PartitionOwner::DropWorker(const std::string& id) {
   WorkerState* worker = FindWorker(id);
   if (worker == nullptr || !worker->tasks.empty()) return;
+  LogEvent(LogLevel::kInfo, "worker-dropped",
+           {{"worker", id},
+            {"read", !unread_workers_.contains(id)},
+            {"unacknowledged_ends", worker->link->UnacknowledgedEnds()}});
   worker->link->Close();
   unread_workers_.erase(id);
   // The link may be on the call stack: let it unwind first.
@@ -179,20 +183,38 @@
   FreeLeftRuns(worker, answer, sent_at);
   PaceFillers(worker);
   if (worker->strangers_listed == 0) worker->strangers.clear();
-  unread_workers_.erase(id);
+  if (unread_workers_.erase(id) > 0) {
+    LogEvent(LogLevel::kInfo, "worker-read",
+             {{"worker", id},
+              {"running", answer.running.size()},
+              {"ended", answer.ended.size()},
+              {"unread", unread_workers_.size()},
+              {"after_ms", (ports_.clock->Now() - began_at_).count()}});
+  }
   if (!answer.ended.empty()) {
     std::int64_t last = 0;
     for (const EndedTask& end : answer.ended) {
       last = std::max(last, end.number);
     }
     recorder_->Save(std::vector<std::string>(changed.begin(), changed.end()),
-                    [self = shared_from_this(), link = worker->link, last] {
-                      if (!self->closed_) link->Acknowledge(last);
+                    [self = shared_from_this(), link = worker->link, id, last,
+                     listed_at = ports_.clock->Now()] {
+                      if (self->closed_) return;
+                      self->OnEndsStored(id, last, listed_at);
+                      link->Acknowledge(last);
                     });
   }
   ScheduleDispatch();
 }
 
+void PartitionOwner::OnEndsStored(const std::string& worker,
+                                  std::int64_t number, TimePoint listed_at) {
+  const Millis took = ports_.clock->Now() - listed_at;
+  Observe("end_stored_ms", took);
+  LogEvent(LogLevel::kInfo, "ends-stored",
+           {{"worker", worker}, {"up_to", number}, {"after_ms", took.count()}});
+}
+
 void PartitionOwner::OnRunning(WorkerState* worker,
                                const RunningTask& running) {
   JobRecord* job = jobs_.Find(running.task.job);
@@ -304,6 +326,7 @@
            {{"task", FormatTaskId(end.task)},
             {"run", end.run},
             {"worker", id},
+            {"number", end.number},
             {"how", NameOf(kEndKindNames, end.kind)},
             {"failures", task == nullptr ? 0 : task->failures}});
   if (task != nullptr && current) {
