--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -76,9 +76,12 @@
   std::string Value(const std::string& key) const;
 
   SimFault fault = SimFault::kNone;
+  /// Commits that write a key under one of these are refused, as beyond a rate.
+  std::vector<std::string> refused_prefixes;
   std::int64_t commits = 0;
 
  private:
+  bool Refused(const Txn& txn) const;
   bool Fails(const StoreAnswerCallback& done, bool write);
   void Answer(const StoreAnswerCallback& done, StoreAnswer answer);
   StoreAnswer Apply(const Txn& txn);
@@ -119,12 +122,18 @@
   std::int64_t disturbance_ms = 0;
   /// Tasks stand still.
   bool hangs = false;
+  /// Orders under tokens from this one on do not reach the worker.
+  std::optional<std::int64_t> deaf_from_fence;
   std::int64_t fence = 0;
   std::int64_t lease_ms = 0;
+  /// End of the last lease that ran out.
+  TimePoint lapsed_at{};
   TimePoint born_at{};
   std::int64_t last_number = 0;
   std::map<TaskId, Run> running;
   std::vector<EndedTask> ended;
+  /// When each of the ends came.
+  std::map<std::int64_t, TimePoint> ended_at;
   std::map<TaskId, std::int64_t> highest_run;
 };
 
@@ -175,6 +184,8 @@
   std::int64_t Starts() const { return starts_; }
   /// Starts without the worker's own ticket are refused.
   bool needs_tickets = false;
+  /// A look lists this many ends at most.
+  std::size_t ends_per_look = 500;
   int starts_without_ticket = 0;
   int most_in_maintenance = 0;
   int moves = 0;
@@ -201,6 +212,9 @@
   std::int64_t ClockOf(const SimWorker& worker) const;
   void CheckStart(const SimWorker& worker, const StartOrder& order,
                   const StepSpec& step);
+  void CheckAcknowledged(const SimWorker& worker, const EndedTask& end);
+  /// How calls of the owner with this token fare.
+  static SimFault FaultFor(const SimWorker& worker, std::int64_t fence);
   template <typename Result>
   void Deliver(SimFault fault, std::function<Result()> effect,
                std::function<void(Result)> done, Result refused,
@@ -215,6 +229,7 @@
   std::map<std::string, JobSpec> jobs_;
   std::map<std::string, TimePoint> cancelled_;
   std::map<TaskId, std::int64_t> done_;
+  std::map<TaskId, TimePoint> last_start_;
   /// Ends that are done and acknowledged: they stand for good.
   std::set<TaskId> acknowledged_;
   std::map<TaskId, int> failed_acknowledged_;
--- a/unittests/Partition/SimFleet.cc
+++ b/unittests/Partition/SimFleet.cc
@@ -104,6 +104,7 @@
                            .run = run.run,
                            .kind = kind,
                            .checkpoint = run.checkpoint});
+  worker->ended_at[worker->last_number] = timers_->Now();
   worker->highest_run[task] = std::max(worker->highest_run[task], run.run);
   if (kind == EndKind::kDone) done_[task] = run.run;
 }
@@ -111,6 +112,7 @@
 void SimFleet::Advance(SimWorker* worker) {
   const TimePoint now = timers_->Now();
   const bool lapsed = ClockOf(*worker) > worker->lease_ms;
+  if (lapsed) worker->lapsed_at = worker->born_at + Millis(worker->lease_ms);
   std::vector<std::pair<TaskId, EndKind>> ends;
   for (const auto& [task, run] : worker->running) {
     if (run.ends_at <= now && !worker->hangs) {
@@ -159,6 +161,27 @@
   }
 }
 
+void SimFleet::CheckAcknowledged(const SimWorker& worker,
+                                 const EndedTask& end) {
+  if (end.kind != EndKind::kDone) return;
+  acknowledged_.insert(end.task);
+  const StepSpec& step =
+      jobs_.at(end.task.job).steps[static_cast<std::size_t>(end.task.step)];
+  const TimePoint ended_at = worker.ended_at.at(end.number);
+  // An end whose worker's lease ran out before it was acknowledged may have
+  // been given up.
+  if (step.speculative || worker.lapsed_at >= ended_at) return;
+  if (last_start_[end.task] > ended_at) {
+    Break("started after done, which was acknowledged later: " +
+          FormatTaskId(end.task));
+  }
+}
+
+SimFault SimFleet::FaultFor(const SimWorker& worker, std::int64_t fence) {
+  const bool deaf = worker.deaf_from_fence && fence >= *worker.deaf_from_fence;
+  return !worker.alive || deaf ? SimFault::kSilent : worker.fault;
+}
+
 OrderResult SimFleet::DoStart(SimWorker* worker, const StartOrder& order) {
   if (!worker->alive) return OrderResult::kUnknown;
   Advance(worker);
@@ -194,6 +217,7 @@
   }
   ++starts_;
   const TimePoint now = timers_->Now();
+  last_start_[order.task] = now;
   worker->running[order.task] = {
       .run = order.run,
       .begun_at = now,
@@ -235,9 +259,9 @@
 void SimFleet::Start(const WorkerAddress& address, const StartOrder& order,
                      std::function<void(OrderResult)> done) {
   SimWorker* worker = Find(address.id);
-  const SimFault fault = worker->alive ? worker->fault : SimFault::kSilent;
   Deliver<OrderResult>(
-      fault, [this, worker, order] { return DoStart(worker, order); }, done,
+      FaultFor(*worker, order.fence),
+      [this, worker, order] { return DoStart(worker, order); }, done,
       OrderResult::kUnhealthy, OrderResult::kUnknown);
 }
 
@@ -245,9 +269,8 @@
                     std::int64_t run, std::int64_t fence,
                     std::function<void(OrderResult)> done) {
   SimWorker* worker = Find(address.id);
-  const SimFault fault = worker->alive ? worker->fault : SimFault::kSilent;
   Deliver<OrderResult>(
-      fault,
+      FaultFor(*worker, fence),
       [this, worker, task, run, fence] {
         if (!worker->alive) return OrderResult::kUnknown;
         Advance(worker);
@@ -270,7 +293,7 @@
                     std::function<void(OrderResult)> done) {
   SimWorker* worker = Find(address.id);
   Deliver<OrderResult>(
-      worker->alive ? worker->fault : SimFault::kSilent,
+      FaultFor(*worker, fence),
       [worker, task, run, percent, fence] {
         if (fence < worker->fence) return OrderResult::kFenced;
         worker->fence = fence;
@@ -306,7 +329,7 @@
   }
   std::erase_if(worker->ended, [&](const EndedTask& end) {
     if (end.number > order.seen_up_to) return false;
-    if (end.kind == EndKind::kDone) acknowledged_.insert(end.task);
+    CheckAcknowledged(*worker, end);
     if (end.kind == EndKind::kFailed) ++failed_acknowledged_[end.task];
     return true;
   });
@@ -321,14 +344,17 @@
                               .percent = at_work ? 100 : 0,
                               .load_figure = run.serves ? TailOf(*worker) : 0});
   }
-  answer.ended = worker->ended;
+  const std::size_t listed = std::min(worker->ended.size(), ends_per_look);
+  answer.ended.assign(
+      worker->ended.begin(),
+      worker->ended.begin() + static_cast<std::ptrdiff_t>(listed));
   return answer;
 }
 
 void SimFleet::WaitHold(const std::string& id, HoldOrder order, TimePoint until,
                         const std::function<void(const HoldAnswer&)>& done) {
   SimWorker* worker = Find(id);
-  if (!worker->alive || worker->fault == SimFault::kSilent) {
+  if (FaultFor(*worker, order.fence) == SimFault::kSilent) {
     timers_->After(kCallTimeout, [done] { done({}); });
     return;
   }
--- a/unittests/Partition/SimStore.cc
+++ b/unittests/Partition/SimStore.cc
@@ -126,7 +126,18 @@
   return {.status = TxnStatus::kOk, .revision = revision_};
 }
 
+bool SimStore::Refused(const Txn& txn) const {
+  return std::any_of(
+      txn.writes.begin(), txn.writes.end(), [this](const TxnWrite& write) {
+        return std::any_of(refused_prefixes.begin(), refused_prefixes.end(),
+                           [&write](const std::string& prefix) {
+                             return write.key.starts_with(prefix);
+                           });
+      });
+}
+
 void SimStore::Commit(const Txn& txn, StoreAnswerCallback done) {
+  if (Refused(txn)) return Answer(done, {.status = TxnStatus::kRefused});
   if (txn.conditions.size() + txn.writes.size() + txn.removals.size() >
       kMaxTxnEntries) {
     return Answer(done, {.status = TxnStatus::kRefused});
--- /dev/null
+++ b/unittests/Partition/TakeOverTest.cc
@@ -0,0 +1,197 @@
+// What a new owner may take for granted of workers that it has not read whole.
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "FleetSim.h"
+
+namespace basilusher {
+namespace {
+
+constexpr const char* kJob = "00000000000000a1";
+
+class TakeOverTest : public ::testing::Test {
+ protected:
+  /// Lets a pool of `workers` come up under the first owner.
+  void SetUpFleet(int workers) {
+    for (int i = 0; i < workers; ++i) sim.fleet.AddWorker("pool");
+    sim.BeginTerm();
+    sim.Run(Millis(300));
+  }
+
+  /// The worker that the job's tasks run on.
+  std::string Holder() {
+    std::string holder;
+    for (const std::string& id : sim.fleet.Ids()) {
+      if (!sim.fleet.Find(id)->running.empty()) holder = id;
+    }
+    return holder;
+  }
+
+  /// The worker's entry goes, as if its heartbeats had not come; returns it.
+  std::string Lapse(const std::string& worker) {
+    const std::string key = "workers/" + worker;
+    std::string entry = sim.store.Value(key);
+    sim.store.Remove(key);
+    return entry;
+  }
+
+  /// The store has no time for the jobs' records.
+  void RefuseJobRecords() {
+    sim.store.refused_prefixes = {RecordKeys().progress_prefix,
+                                  RecordKeys().final_prefix};
+  }
+
+  FleetSim sim;
+};
+
+TEST_F(TakeOverTest, AnEntryThatLapsesAfterItsListKeepsItsWorkersTasksBack) {
+  SetUpFleet(2);
+  sim.Submit(FleetSim::MakeJob(kJob, 1, 400));
+  sim.Run(Millis(200));
+  const std::string worker = Holder();
+  RefuseJobRecords();
+  sim.Run(Millis(400));
+  ASSERT_EQ(sim.fleet.Done(kJob), 1);
+  sim.store.refused_prefixes.clear();
+  sim.fleet.AddWorker("pool");
+  sim.fleet.Find(worker)->fault = SimFault::kSilent;
+  sim.BeginTerm();
+  while (!sim.owner->Loaded()) sim.Run(Millis(1));
+  const std::string entry = Lapse(worker);
+  sim.Run(Millis(300));
+  sim.fleet.Find(worker)->fault = SimFault::kNone;
+  sim.store.Put("workers/" + worker, entry);
+  sim.Run(Millis(2000));
+  EXPECT_EQ(sim.StateOf(kJob), JobState::kSucceeded);
+  EXPECT_EQ(sim.fleet.Starts(), 1);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
+TEST_F(TakeOverTest, ALapsedWorkerWhoseEndsAreNotStoredIsReadByTheNextOwner) {
+  SetUpFleet(2);
+  sim.Submit(FleetSim::MakeJob(kJob, 1, 400));
+  sim.Run(Millis(200));
+  const std::string worker = Holder();
+  const std::string entry = Lapse(worker);
+  RefuseJobRecords();
+  sim.Run(Millis(500));
+  ASSERT_EQ(sim.fleet.Done(kJob), 1);
+  sim.store.refused_prefixes.clear();
+  sim.BeginTerm();
+  sim.Run(Millis(1500));
+  sim.store.Put("workers/" + worker, entry);
+  sim.Run(Millis(2000));
+  EXPECT_EQ(sim.StateOf(kJob), JobState::kSucceeded);
+  EXPECT_EQ(sim.fleet.Starts(), 1);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
+TEST_F(TakeOverTest, AnIdleWorkerThatLapsesWithUnstoredEndsIsReadByTheNext) {
+  SetUpFleet(2);
+  sim.Submit(FleetSim::MakeJob(kJob, 1, 400));
+  sim.Run(Millis(200));
+  const std::string worker = Holder();
+  RefuseJobRecords();
+  sim.Run(Millis(400));
+  ASSERT_EQ(sim.fleet.Done(kJob), 1);
+  const std::string entry = Lapse(worker);
+  sim.Run(Millis(300));
+  sim.store.refused_prefixes.clear();
+  sim.fleet.AddWorker("pool");
+  sim.BeginTerm();
+  sim.Run(Millis(1500));
+  sim.store.Put("workers/" + worker, entry);
+  sim.Run(Millis(2000));
+  EXPECT_EQ(sim.fleet.Starts(), 1);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
+TEST_F(TakeOverTest, AnInstanceIsNotTakenBeforeItsWorkersEndsAreStored) {
+  SetUpFleet(2);
+  sim.Submit(FleetSim::MakeJob(kJob, 1, 400));
+  sim.Run(Millis(200));
+  const std::string worker = Holder();
+  RefuseJobRecords();
+  sim.owner->SetWave({.number = 1,
+                      .instances = {"m-" + worker},
+                      .ramp_s = 10,
+                      .max_at_once = 1});
+  sim.Run(Millis(1500));
+  ASSERT_EQ(sim.fleet.Done(kJob), 1);
+  EXPECT_TRUE(sim.fleet.Find(worker)->alive);
+  sim.store.refused_prefixes.clear();
+  sim.Run(Millis(1500));
+  EXPECT_EQ(sim.StateOf(kJob), JobState::kSucceeded);
+  EXPECT_FALSE(sim.fleet.Find(worker)->alive);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
+TEST_F(TakeOverTest, AWorkerWithMoreEndsThanOneLookListsIsNotReadByOneLook) {
+  sim.fleet.ends_per_look = 5;
+  SetUpFleet(1);
+  sim.Submit(FleetSim::MakeJob(kJob, 12, 400));
+  sim.Run(Millis(200));
+  sim.store.fault = SimFault::kSilent;
+  sim.Run(Millis(500));
+  ASSERT_EQ(sim.fleet.Done(kJob), 12);
+  sim.store.fault = SimFault::kNone;
+  sim.fleet.AddWorker("pool");
+  sim.BeginTerm();
+  sim.Run(Millis(3000));
+  EXPECT_EQ(sim.StateOf(kJob), JobState::kSucceeded);
+  EXPECT_EQ(sim.fleet.Starts(), 12);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
+TEST_F(TakeOverTest, EndsBeyondOneLookAreNoVanishedRuns) {
+  sim.fleet.ends_per_look = 5;
+  SetUpFleet(2);
+  RefuseJobRecords();
+  sim.Submit(FleetSim::MakeJob(kJob, 12, 400));
+  sim.Run(Millis(2000));
+  EXPECT_EQ(sim.fleet.Starts(), 12);
+  sim.store.refused_prefixes.clear();
+  sim.Run(Millis(3000));
+  EXPECT_EQ(sim.StateOf(kJob), JobState::kSucceeded);
+  EXPECT_EQ(sim.fleet.Starts(), 12);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
+TEST_F(TakeOverTest, AnEntryThatLapsesAndReturnsAtOnceLeavesItsWorkerInUse) {
+  SetUpFleet(1);
+  const std::string worker = sim.fleet.Ids().front();
+  const std::string entry = Lapse(worker);
+  sim.store.Put("workers/" + worker, entry);
+  sim.Run(Millis(300));
+  sim.Submit(FleetSim::MakeJob(kJob, 4, 400));
+  sim.Run(Millis(2000));
+  EXPECT_EQ(sim.StateOf(kJob), JobState::kSucceeded);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
+TEST_F(TakeOverTest, NoEntryReturnsWhileTheStoreIsAway) {
+  SetUpFleet(3);
+  JobSpec lasting = FleetSim::MakeJob(kJob, 1, 0);
+  lasting.steps[0].lasting = true;
+  sim.Submit(lasting);
+  sim.Run(Millis(300));
+  const std::string worker = Holder();
+  sim.fleet.Find(worker)->fault = SimFault::kSilent;
+  sim.BeginTerm();
+  sim.Run(Millis(100));
+  const std::string entry = Lapse(worker);
+  sim.Run(Millis(500));
+  sim.store.fault = SimFault::kSilent;
+  sim.Run(Millis(2600));
+  // The run's lease still lasts.
+  EXPECT_EQ(sim.fleet.Running(kJob), 1);
+  sim.store.fault = SimFault::kNone;
+  sim.store.Put("workers/" + worker, entry);
+  sim.fleet.Find(worker)->fault = SimFault::kNone;
+  sim.Run(Millis(8000));
+  EXPECT_EQ(sim.fleet.Running(kJob), 1);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
+}  // namespace
+}  // namespace basilusher
