Take nothing for missing from a worker's list that is cut short

A worker lists 500 ends at a time. An owner that had not had the rest took the worker for read, and runs whose ends were beyond the limit for vanished: their tasks started again, also without a take-over. Change: the adapter says that a list may be cut short; then nothing is taken for vanished, no room of a given-up run is freed, and the worker stays unread.

--- a/include/basilusher/Jobs/Ports.h
+++ b/include/basilusher/Jobs/Ports.h
@@ -135,6 +135,8 @@
   std::int64_t born_unix_ms = 0;
   std::vector<RunningTask> running;
   std::vector<EndedTask> ended;
+  /// The worker may keep later ends that it lists once these are acknowledged.
+  bool more_ends = false;
 };
 
 /// Orders to workers. Each callback runs once. Not thread-safe: I/O thread.
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -179,11 +179,14 @@
   worker->strangers_listed = 0;
   for (const EndedTask& end : answer.ended) OnEnded(worker, end, &changed);
   for (const RunningTask& running : answer.running) OnRunning(worker, running);
-  FindVanished(worker, answer, sent_at, settled);
-  FreeLeftRuns(worker, answer, sent_at);
+  // What is missing from a list that is cut short may have ended.
+  if (!answer.more_ends) {
+    FindVanished(worker, answer, sent_at, settled);
+    FreeLeftRuns(worker, answer, sent_at);
+  }
   PaceFillers(worker);
   if (worker->strangers_listed == 0) worker->strangers.clear();
-  if (unread_workers_.erase(id) > 0) {
+  if (!answer.more_ends && unread_workers_.erase(id) > 0) {
     LogEvent(LogLevel::kInfo, "worker-read",
              {{"worker", id},
               {"running", answer.running.size()},
--- a/unittests/Partition/SimFleet.cc
+++ b/unittests/Partition/SimFleet.cc
@@ -348,6 +348,7 @@
   answer.ended.assign(
       worker->ended.begin(),
       worker->ended.begin() + static_cast<std::ptrdiff_t>(listed));
+  answer.more_ends = listed < worker->ended.size();
   return answer;
 }
 
