Forget a worker only once the store knows all that ended there

Cause: an owner took a worker whose entry was away and that had no tasks in memory for one that holds nothing. In the same way an instance was taken while ends of its worker were in memory only, and a worker whose entry went and came back in one answer of the store kept a closed link: its tasks never ended. Change: a worker is settled when nothing runs there, all its ends are durable and it has been read. Tests, failing before: TakeOverTest.ALapsedWorker..., AnIdleWorker..., AnInstanceIsNotTaken..., AnEntryThatLapsesAndReturnsAtOnce...

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -156,6 +156,9 @@
   struct WorkerState {
     WorkerEntry entry;
     bool listed = false;
+    TimePoint unlisted_at{};
+    /// Its link is closed and it leaves the table with the next event.
+    bool dropped = false;
     /// The store knows that tasks may run there.
     bool recorded = false;
     /// This owner has ended its life by taking its instance.
@@ -229,7 +232,13 @@
   // OwnerWorkers.cc: the directory, lists, ends.
   void OnDirectory(const StoredItem& item);
   WorkerState* AddWorker(const std::string& id, const std::string& address);
-  void DropWorker(const std::string& id);
+  /// Nothing runs on the worker or has ended there that the store does not
+  /// know: a later owner needs not hear of it.
+  bool IsSettled(const WorkerState& worker) const;
+  /// Forgets a worker without an entry, once it is settled.
+  void DropIfSettled(const std::string& id);
+  /// Unread workers whose entries stay away are gone.
+  void FindGoneWorkers();
   void OnLists(const std::string& id, const HoldAnswer& answer,
                TimePoint sent_at, bool settled);
   void OnEndsStored(const std::string& worker, std::int64_t number,
--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -118,8 +118,8 @@
     const auto pool = catalog_->pools.find(instance.pool);
     return pool != catalog_->pools.end() && pool->second.spare;
   }
-  return worker->tasks.empty() && worker->strangers_listed == 0 &&
-         worker->link->Synced();
+  return worker->link->Synced() && worker->strangers_listed == 0 &&
+         IsSettled(*worker);
 }
 
 void PartitionOwner::BeginOp(const Instance& instance, std::int64_t wave,
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -201,7 +201,7 @@
         if (!address.is_string()) continue;
         WorkerState* worker = self->AddWorker(id, address.get<std::string>());
         worker->recorded = true;
-        if (!worker->link->Synced()) self->unread_workers_.insert(id);
+        self->unread_workers_.insert(id);
       }
     }
     self->workers_loaded_ = true;
@@ -223,10 +223,7 @@
             {"workers", workers_.size()},
             {"unread", unread_workers_.size()},
             {"after_ms", (ports_.clock->Now() - began_at_).count()}});
-  for (const auto& [id, worker] : workers_) {
-    if (worker->link->Synced()) unread_workers_.erase(id);
-  }
-  // Lists that were read before the jobs were known are read again.
+  // Lists can be matched only now that the jobs are known.
   for (const auto& [id, worker] : workers_) worker->link->Begin();
   SaveWorkers();
   ScheduleDispatch();
@@ -388,7 +385,7 @@
   Json known = Json::object();
   std::vector<std::string> ids;
   for (const auto& [id, worker] : workers_) {
-    if (worker->ended) continue;
+    if (worker->ended || worker->dropped) continue;
     known[id] = worker->link->Address().address;
     ids.push_back(id);
   }
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -24,13 +24,14 @@
 
 PartitionOwner::WorkerState* PartitionOwner::FindWorker(const std::string& id) {
   const auto it = workers_.find(id);
-  return it == workers_.end() ? nullptr : it->second.get();
+  return it == workers_.end() || it->second->dropped ? nullptr
+                                                     : it->second.get();
 }
 
 PartitionOwner::WorkerState* PartitionOwner::AddWorker(
     const std::string& id, const std::string& address) {
   std::unique_ptr<WorkerState>& slot = workers_[id];
-  if (slot != nullptr) return slot.get();
+  if (slot != nullptr && !slot->dropped) return slot.get();
   slot = std::make_unique<WorkerState>();
   slot->slot.id = id;
   slot->entry.id = id;
@@ -54,25 +55,42 @@
   return slot.get();
 }
 
-void PartitionOwner::DropWorker(const std::string& id) {
+bool PartitionOwner::IsSettled(const WorkerState& worker) const {
+  return worker.tasks.empty() && worker.left.empty() &&
+         worker.link->UnacknowledgedEnds() == 0 &&
+         !unread_workers_.contains(worker.slot.id);
+}
+
+void PartitionOwner::DropIfSettled(const std::string& id) {
   WorkerState* worker = FindWorker(id);
-  if (worker == nullptr || !worker->tasks.empty()) return;
-  LogEvent(LogLevel::kInfo, "worker-dropped",
-           {{"worker", id},
-            {"read", !unread_workers_.contains(id)},
-            {"unacknowledged_ends", worker->link->UnacknowledgedEnds()}});
+  if (!loaded_ || worker == nullptr || worker->listed || !IsSettled(*worker)) {
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "worker-dropped", {{"worker", id}});
   worker->link->Close();
-  unread_workers_.erase(id);
+  worker->dropped = true;
   // The link may be on the call stack: let it unwind first.
   ports_.timers->After(Millis(0), [self = shared_from_this(), id] {
     const auto it = self->workers_.find(id);
-    if (it != self->workers_.end() && !it->second->listed) {
+    if (it != self->workers_.end() && it->second->dropped) {
       self->workers_.erase(it);
-      self->SaveWorkers();
     }
+    self->SaveWorkers();
   });
 }
 
+void PartitionOwner::FindGoneWorkers() {
+  for (const auto& [id, worker] : workers_) {
+    if (worker->dropped || worker->unlisted_at == TimePoint{}) continue;
+    if (ports_.clock->Now() < worker->unlisted_at + kEntryReturns) continue;
+    if (unread_workers_.erase(id) > 0) {
+      LogEvent(LogLevel::kWarning, "worker-gone", {{"worker", id}});
+      ScheduleDispatch();
+    }
+    DropIfSettled(id);
+  }
+}
+
 void PartitionOwner::OnDirectory(const StoredItem& item) {
   const std::optional<WorkerEntry> entry =
       item.removed ? std::nullopt
@@ -84,16 +102,9 @@
     worker->listed = false;
     LogEvent(LogLevel::kInfo, "worker-unlisted",
              {{"worker", id}, {"tasks", worker->tasks.size()}});
+    worker->unlisted_at = ports_.clock->Now();
     // Tasks of a worker that still answers go on; it gets no new ones.
-    if (!worker->tasks.empty()) return;
-    if (!unread_workers_.contains(id)) return DropWorker(id);
-    // What runs there is not known yet, and it may live.
-    ports_.timers->After(kEntryReturns, [self = shared_from_this(), id] {
-      WorkerState* lapsed = self->FindWorker(id);
-      if (self->closed_ || lapsed == nullptr || lapsed->listed) return;
-      if (lapsed->tasks.empty()) self->DropWorker(id);
-      self->ScheduleDispatch();
-    });
+    if (worker->ended) DropIfSettled(id);
     return;
   }
   WorkerState* worker = FindWorker(id);
@@ -115,6 +126,7 @@
   }
   worker->entry = *entry;
   worker->listed = true;
+  worker->unlisted_at = TimePoint{};
   worker->slot.pool = entry->pool;
   worker->slot.rack = entry->rack;
   worker->slot.labels = entry->labels;
@@ -148,7 +160,6 @@
   workspace_used_[job->spec.workspace] -= step.need;
   if (!worker->tasks.empty()) return;
   worker->idle_since = ports_.clock->Now();
-  if (!worker->listed) DropWorker(worker->slot.id);
 }
 
 void PartitionOwner::ReturnToQueue(JobRecord* job, const TaskId& id) {
@@ -459,7 +470,7 @@
   worker->strangers.clear();
   worker->strangers_listed = 0;
   unread_workers_.erase(id);
-  if (!worker->listed) DropWorker(id);
+  DropIfSettled(id);
   ScheduleDispatch();
 }
 
