Count only time in which the store answers before a worker is taken for gone

Cause: an unread worker whose entry had lapsed was taken for gone after 2.3 s of any time. The platform promises that entries are back two seconds after the store's return; in a second outage they cannot be, and the run's lease still lasts. Change: the directory's watcher tells since when no call has failed, and the time counts from there, up to its last answered call. Test, failing before: TakeOverTest.NoEntryReturnsWhileTheStoreIsAway.

--- a/include/basilusher/Store/StoreWatcher.h
+++ b/include/basilusher/Store/StoreWatcher.h
@@ -48,6 +48,9 @@
   /// All changes that the store had acknowledged at this time are known; zero
   /// before the first list.
   TimePoint FreshAt() const { return fresh_at_; }
+  /// Since when no call has failed; what came later is not due to an outage
+  /// that this watcher has seen.
+  TimePoint UnbrokenSince() const { return unbroken_since_; }
 
  private:
   /// One call to the store; `round` tells late answers from current ones.
@@ -57,6 +60,7 @@
   void Continue();
   void OnFailure(std::int64_t round);
   void ProbeLater(Millis delay);
+  void OnAnswered(TimePoint sent_at);
   void Report(const StoredItem& item);
 
   TransactionalStore* store_;
@@ -67,6 +71,7 @@
   std::map<std::string, std::int64_t> revisions_;
   std::int64_t revision_ = 0;
   TimePoint fresh_at_{};
+  TimePoint unbroken_since_{};
   /// Calls of earlier rounds that are answered late are passed over.
   std::int64_t round_ = 0;
   /// Calls under way in this round.
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -82,7 +82,9 @@
 void PartitionOwner::FindGoneWorkers() {
   for (const auto& [id, worker] : workers_) {
     if (worker->dropped || worker->unlisted_at == TimePoint{}) continue;
-    if (ports_.clock->Now() < worker->unlisted_at + kEntryReturns) continue;
+    const TimePoint since =
+        std::max(worker->unlisted_at, directory_->UnbrokenSince());
+    if (directory_->FreshAt() < since + kEntryReturns) continue;
     if (unread_workers_.erase(id) > 0) {
       LogEvent(LogLevel::kWarning, "worker-gone", {{"worker", id}});
       ScheduleDispatch();
--- a/lib/Store/StoreWatcher.cc
+++ b/lib/Store/StoreWatcher.cc
@@ -65,6 +65,11 @@
   });
 }
 
+void StoreWatcher::OnAnswered(TimePoint sent_at) {
+  if (recovering_ || !loaded_) unbroken_since_ = sent_at;
+  fresh_at_ = sent_at;
+}
+
 void StoreWatcher::Report(const StoredItem& item) {
   if (item.removed) {
     if (revisions_.erase(item.key) == 0) return;
@@ -98,7 +103,7 @@
       self->Report({.key = key, .value = {}, .removed = true});
       if (self->closed_) return;
     }
-    self->fresh_at_ = sent_at;
+    self->OnAnswered(sent_at);
     if (!self->loaded_) {
       self->loaded_ = true;
       if (self->listener_.on_loaded) self->listener_.on_loaded();
@@ -125,7 +130,7 @@
           self->Report(item);
           if (self->closed_) return;
         }
-        self->fresh_at_ = sent_at;
+        self->OnAnswered(sent_at);
         self->Continue();
       });
 }
