--- a/unittests/Partition/TakeOverTest.cc
+++ b/unittests/Partition/TakeOverTest.cc
@@ -143,6 +143,35 @@
   EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
 }
 
+TEST_F(TakeOverTest, AnInstanceIsNotTakenWhileItsWorkerHasEndsToList) {
+  sim.fleet.ends_per_look = 5;
+  SetUpFleet(1);
+  sim.Submit(FleetSim::MakeJob(kJob, 12, 400));
+  sim.Run(Millis(200));
+  const std::string worker = Holder();
+  sim.store.fault = SimFault::kSilent;
+  sim.Run(Millis(500));
+  ASSERT_EQ(sim.fleet.Done(kJob), 12);
+  sim.store.fault = SimFault::kNone;
+  sim.fleet.AddWorker("pool");
+  sim.BeginTerm();
+  // The worker goes silent once the first ends are acknowledged.
+  while (sim.fleet.Find(worker)->ended.size() == 12) sim.Run(Millis(1));
+  sim.fleet.Find(worker)->fault = SimFault::kSilent;
+  sim.owner->SetWave({.number = 1,
+                      .instances = {"m-" + worker},
+                      .ramp_s = 10,
+                      .max_at_once = 1});
+  sim.Run(Millis(2000));
+  EXPECT_TRUE(sim.fleet.Find(worker)->alive);
+  sim.fleet.Find(worker)->fault = SimFault::kNone;
+  sim.Run(Millis(4000));
+  EXPECT_EQ(sim.StateOf(kJob), JobState::kSucceeded);
+  EXPECT_EQ(sim.fleet.Starts(), 12);
+  EXPECT_FALSE(sim.fleet.Find(worker)->alive);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
 TEST_F(TakeOverTest, EndsBeyondOneLookAreNoVanishedRuns) {
   sim.fleet.ends_per_look = 5;
   SetUpFleet(2);
