Read a worker's new life before what the old one ran is taken for lost

Callers: a task may run twice at the same time (TWICE) after a worker's process has begun again under its id. Cause: when a link heard of a new life it reported at once that nothing runs there. But (1) for an owner that has just taken over, the new life may run what the earlier owner started there: its entry in the directory can be older than its answers, or come before the first answer; (2) a start that was sent before the new life was known is carried out by that life, since an order names the worker's id and not its life. After a failed look the next one waits a second for an end, so this takes up to that long to notice. The task started elsewhere 1 ms later, and the new life was read 1 ms after that. Change: the link raises its token, reads the new life, and reports the old one's loss together with these lists, so that what runs there is adopted; no order under the earlier token can begin anything after that look. A life that was never read is not reported as lost. A new life that stays silent is waited for no longer than the leases of the old one. After: pass, with the 30 other tests of PartitionTests.

--- a/include/basilusher/Partition/WorkerLink.h
+++ b/include/basilusher/Partition/WorkerLink.h
@@ -43,6 +43,8 @@
         on_lists;
     /// All that ran there has ended without a trace: another life answers, or
     /// the leases have run out. The worker is read anew before the next order.
+    /// If it is another life of a worker that was read, its lists follow at
+    /// once: orders that were under way may have reached that life.
     std::function<void(const char* reason)> on_lost;
     /// A higher fencing token was used by somebody else.
     std::function<void()> on_fenced;
@@ -92,7 +94,10 @@
   void OnSilence();
   void OnOrder(OrderResult result, std::int64_t fence);
   void BeginSettling();
+  /// What the earlier life ran, if it was read, is reported as lost together
+  /// with the lists of the new one.
   void BeginLife(std::int64_t born_unix_ms, const char* reason);
+  void Lose(const char* reason);
   void ScheduleNextLook(bool has_new_ends);
   std::int64_t LeaseDeadline();
   void WatchLease();
@@ -115,6 +120,8 @@
   std::int64_t look_number_ = 0;
   std::int64_t fence_;
   std::int64_t born_unix_ms_ = 0;
+  /// Why a life that was read is over, until the next one has been read.
+  const char* lost_life_ = nullptr;
   std::int64_t last_end_ = 0;
   std::int64_t acknowledged_ = 0;
   /// Last numbers of answers whose ends are not all durable, and whether they
--- a/lib/Partition/WorkerLink.cc
+++ b/lib/Partition/WorkerLink.cc
@@ -78,9 +78,7 @@
     self->lease_watched_ = false;
     if (self->closed_ || self->lease_end_ == TimePoint{}) return;
     if (self->clock_->Now() < self->lease_end_) return self->WatchLease();
-    self->lease_end_ = TimePoint{};
-    self->synced_ = false;
-    self->listener_.on_lost("leases have run out");
+    self->Lose("leases have run out");
   });
 }
 
@@ -128,9 +126,7 @@
       break;
     case OrderResult::kOtherWorker:
       if (synced_ || lease_end_ != TimePoint{}) {
-        lease_end_ = TimePoint{};
-        synced_ = false;
-        listener_.on_lost("another worker answers at its address");
+        Lose("another worker answers at its address");
       }
       OnSilence();
       return;
@@ -159,6 +155,12 @@
     if (answer.born_unix_ms < born_unix_ms_) return;  // of an earlier life
     born_unix_ms_ = answer.born_unix_ms;
   }
+  if (lost_life_ != nullptr) {
+    // Orders under an earlier token may still begin something in this life.
+    if (fence != fence_) return;
+    Lose(lost_life_);
+    if (closed_) return;
+  }
   worker_clock_ms_ = answer.worker_clock_ms;
   worker_clock_at_ = last_answer_;
   clock_known_ = true;
@@ -211,9 +213,21 @@
   unstored_.clear();
   clock_known_ = false;
   max_lease_worker_ms_ = 0;
-  lease_end_ = TimePoint{};
+  if (synced_) {
+    lost_life_ = reason;
+    // A new life that stays silent is waited for no longer than the leases.
+    lease_end_ = std::max(
+        lease_end_, LeaseSurelyEnded(clock_->Now(), 0, options_.lease.count()));
+    WatchLease();
+  }
   synced_ = false;
   settling_ = false;
+}
+
+void WorkerLink::Lose(const char* reason) {
+  lease_end_ = TimePoint{};
+  synced_ = false;
+  lost_life_ = nullptr;
   listener_.on_lost(reason);
 }
 
@@ -228,9 +242,7 @@
   if (result == OrderResult::kUnknown && fence == fence_) BeginSettling();
   if (result == OrderResult::kFenced && fence == fence_) listener_.on_fenced();
   if (result == OrderResult::kOtherWorker) {
-    lease_end_ = TimePoint{};
-    synced_ = false;
-    listener_.on_lost("another worker answers at its address");
+    Lose("another worker answers at its address");
     LookLater(kRetryDelay);
   }
 }
--- /dev/null
+++ b/unittests/Partition/TakeOverKnowledgeTest.cc
@@ -0,0 +1,116 @@
+// What an owner must not conclude from information that is missing, old or of
+// another life: that nothing runs, or has ended, at a worker or an instance.
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "FleetSim.h"
+#include "basilusher/Support/Json.h"
+
+namespace basilusher {
+namespace {
+
+constexpr const char* kJob = "00000000000000a1";
+
+void SetUpFleet(FleetSim* sim, int workers) {
+  for (int i = 0; i < workers; ++i) sim->fleet.AddWorker("pool");
+  sim->BeginTerm();
+  sim->Run(Millis(300));
+}
+
+/// One task on each worker, for as long as the job is not cancelled.
+JobSpec LastingJob(const std::string& id, int tasks) {
+  JobSpec job = FleetSim::MakeJob(id, tasks, 0);
+  job.steps[0].lasting = true;
+  job.steps[0].max_per_worker = 1;
+  return job;
+}
+
+/// The worker's process ends and begins again under its id after `away`. Its
+/// entry in the directory stays as it is.
+void Restart(FleetSim* sim, const std::string& id, Millis away) {
+  SimWorker* worker = sim->fleet.Find(id);
+  worker->alive = false;
+  worker->running.clear();
+  worker->ended.clear();
+  worker->highest_run.clear();
+  sim->Run(away);
+  worker->alive = true;
+  worker->fence = 0;
+  worker->lease_ms = 0;
+  worker->last_number = 0;
+  worker->born_at = sim->timers.Now();
+}
+
+std::string HolderOf(FleetSim* sim, const std::string& job) {
+  for (const std::string& id : sim->fleet.Ids()) {
+    for (const auto& [task, run] : sim->fleet.Find(id)->running) {
+      if (task.job == job) return id;
+    }
+  }
+  return {};
+}
+
+/// A worker whose process has begun again while its entry in the directory
+/// shows the first life. The second life has a task, and two others have none.
+class RestartedWorkerTest : public ::testing::Test {
+ protected:
+  RestartedWorkerTest() {
+    SetUpFleet(&sim, 1);
+    worker = sim.fleet.Ids().front();
+    Restart(&sim, worker, Millis(1000));
+    sim.Run(Millis(1500));
+    // The owner knows of the new life by its answers.
+    sim.Submit(FleetSim::MakeJob(kJob, 1, 6000));
+    sim.Run(Millis(500));
+    for (int i = 0; i < 2; ++i) sim.fleet.AddWorker("pool");
+    sim.Run(Millis(300));
+  }
+
+  void SetUp() override { ASSERT_EQ(HolderOf(&sim, kJob), worker); }
+  void TearDown() override {
+    EXPECT_EQ(sim.fleet.Starts(), 1);
+    EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+  }
+
+  FleetSim sim;
+  std::string worker;
+};
+
+TEST_F(RestartedWorkerTest, ALifeThatTheDirectoryDoesNotShowYetIsRead) {
+  sim.BeginTerm();
+  sim.Run(Millis(2000));
+}
+
+TEST_F(RestartedWorkerTest, ALifeThatOnlyTheDirectoryShowsIsRead) {
+  // The next owner lists the entry of the first life; the entry of the second
+  // comes while the worker does not answer.
+  sim.fleet.Find(worker)->fault = SimFault::kSilent;
+  sim.BeginTerm();
+  sim.Run(Millis(100));
+  Json entry = Json::parse(sim.store.Value("workers/" + worker));
+  entry["born"] = sim.fleet.Find(worker)->born_at.time_since_epoch().count();
+  sim.store.Put("workers/" + worker, entry.dump());
+  sim.Run(Millis(1000));
+  sim.fleet.Find(worker)->fault = SimFault::kNone;
+  sim.Run(Millis(2000));
+}
+
+TEST(TakeOverKnowledgeTest, ANewLifeMayRunWhatWasOrderedBeforeItWasKnown) {
+  FleetSim sim;
+  SetUpFleet(&sim, 2);
+  const std::string worker = sim.fleet.Ids().front();
+  // The look that is under way fails only with its timeout.
+  Restart(&sim, worker, Millis(20));
+  sim.Submit(LastingJob(kJob, 2));
+  sim.Run(Millis(100));
+  ASSERT_EQ(sim.fleet.Running(kJob), 2);
+  // The look after it waits for an end and shows the new life a second later.
+  sim.Run(Millis(1300));
+  sim.fleet.AddWorker("pool");
+  sim.Run(Millis(3000));
+  EXPECT_EQ(sim.fleet.Running(kJob), 2);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
+}  // namespace
+}  // namespace basilusher
