Let a stored end of a worker's earlier life acknowledge no end of the present one

Callers: a task whose run had ended as done was started again after a take-over (TWICE). Cause: each life of a worker numbers its ends from one, and an end is acknowledged by the last number of its answer once that is stored. While the store is away a worker begins again and both lives list an end under one number: the storing of the first acknowledged the second, which was not stored. An owner that ended then took that end with it. Change: the link counts the answers of earlier lives that are still being stored; of two under one number the present life's counts as durable when both are. After: passes, with all of PartitionTests.

--- a/include/basilusher/Partition/WorkerLink.h
+++ b/include/basilusher/Partition/WorkerLink.h
@@ -127,6 +127,10 @@
   /// Last numbers of answers whose ends are not all durable, and whether they
   /// are by themselves.
   std::map<std::int64_t, bool> unstored_;
+  /// Answers of earlier lives that are still being stored, by their last
+  /// number. Each life numbers its ends from one: of two answers under one
+  /// number, the present life's counts as durable only when both are.
+  std::map<std::int64_t, int> earlier_unstored_;
   /// Last reading of the worker's clock and when its answer came.
   std::int64_t worker_clock_ms_ = 0;
   TimePoint worker_clock_at_{};
--- a/lib/Partition/WorkerLink.cc
+++ b/lib/Partition/WorkerLink.cc
@@ -210,6 +210,9 @@
   ++fence_;
   last_end_ = 0;
   acknowledged_ = 0;
+  for (const auto& [number, stored] : unstored_) {
+    if (!stored) ++earlier_unstored_[number];
+  }
   unstored_.clear();
   clock_known_ = false;
   max_lease_worker_ms_ = 0;
@@ -278,8 +281,13 @@
 }
 
 void WorkerLink::Acknowledge(std::int64_t number) {
+  const auto earlier = earlier_unstored_.find(number);
+  if (earlier != earlier_unstored_.end()) {
+    if (--earlier->second == 0) earlier_unstored_.erase(earlier);
+    return;
+  }
   const auto batch = unstored_.find(number);
-  if (batch == unstored_.end()) return;  // of an earlier life
+  if (batch == unstored_.end()) return;
   batch->second = true;
   while (!unstored_.empty() && unstored_.begin()->second) {
     acknowledged_ = unstored_.begin()->first;
--- a/unittests/Partition/TakeOverKnowledgeTest.cc
+++ b/unittests/Partition/TakeOverKnowledgeTest.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr const char* kJob = "00000000000000a1";
+constexpr const char* kOther = "00000000000000b2";
 
 void SetUpFleet(FleetSim* sim, int workers) {
   for (int i = 0; i < workers; ++i) sim->fleet.AddWorker("pool");
@@ -112,5 +113,41 @@
   EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
 }
 
+TEST(TakeOverKnowledgeTest, AStoredEndOfAnEarlierLifeAcknowledgesNoLaterEnd) {
+  FleetSim sim;
+  SetUpFleet(&sim, 1);
+  const std::string worker = sim.fleet.Ids().front();
+  sim.Submit(FleetSim::MakeJob(kJob, 1, 300));
+  sim.Run(Millis(100));
+  JobSpec wide = FleetSim::MakeJob(kOther, 1, 300);
+  wide.steps[0].need.cpu_millis = 32000;
+  sim.Submit(wide);
+  sim.Run(Millis(150));
+  ASSERT_EQ(HolderOf(&sim, kJob), worker);
+  // The first job's end is the first of the worker's first life, and the other
+  // job's end is the first of its second life. Neither is stored.
+  sim.store.fault = SimFault::kSilent;
+  sim.Run(Millis(200));
+  ASSERT_EQ(sim.fleet.Done(kJob), 1);
+  Restart(&sim, worker, Millis(600));
+  for (int i = 0; i < 3000 && sim.fleet.Done(kOther) == 0; ++i) {
+    sim.Run(Millis(1));
+  }
+  ASSERT_EQ(sim.fleet.Done(kOther), 1);
+  sim.Run(Millis(50));
+  sim.store.fault = SimFault::kNone;
+  const std::string final_prefix = RecordKeys().final_prefix;
+  for (int i = 0; i < 2000 && !sim.store.Has(final_prefix + kJob); ++i) {
+    sim.Run(Millis(1));
+  }
+  sim.Run(Millis(10));
+  ASSERT_FALSE(sim.store.Has(final_prefix + kOther));
+  // The next owner has to learn of the other job's end from the worker.
+  sim.BeginTerm();
+  sim.Run(Millis(2000));
+  EXPECT_EQ(sim.StateOf(kOther), JobState::kSucceeded);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
 }  // namespace
 }  // namespace basilusher
