Keep a worker whose instance had been maintained for an earlier owner

Callers: a wave that stops, and one worker less for the rest of the owner's term. Cause: an owner ended (or the store was away) between an order for an instance and the record of it. The next owner orders the instance again; the provider answers "done" since it was done before. The owner took that for the end of the worker that lives there now: it kept it out of use and out of the stored list, waited for a new life without end, and counted the instance as down, against the wave's bound. Change: an instance whose list shows the same worker and the state "up" for more than a second after such an answer is back, and its worker is used once it is stored again. The second is the list's lag that is assumed already. Ruled out: a shorter wait, since an old list shows the worker after a real order. Test on fakes, before: TakeOverKnowledgeTest.AnInstanceMaintainedBeforeATakeOver..., a wave of three, one at a time, was "running" after 20 s, and 3 of 4 workers got work. After: "finished", 4 workers, with all of PartitionTests.

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -294,6 +294,8 @@
   void FleetTick();
   void ListInstances();
   void OnInstances(const InstanceList& list, TimePoint asked_at);
+  /// A worker whose instance was ordered lives on.
+  void KeepWorker(const std::string& id);
   WorkerState* WorkerOn(const Instance& instance);
   bool IsEmpty(const Instance& instance);
   void LoadWave(std::int64_t number);
--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -81,12 +81,16 @@
       over.push_back(id);
       continue;
     }
-    // An instance that is switched off has no worker before and after; the
-    // list may lag, so its state counts only well after the order.
-    const bool new_life =
-        it->second.worker != op.worker ||
-        (op.worker.empty() && asked_at - op.accepted_at > kListLag);
-    if (it->second.state == InstanceState::kUp && new_life) over.push_back(id);
+    if (it->second.state != InstanceState::kUp) continue;
+    if (it->second.worker == op.worker) {
+      // The list may lag, so an unchanged instance counts only well after the
+      // order.
+      if (asked_at - op.accepted_at <= kListLag) continue;
+      // One that is switched off has no worker before and after. Where one
+      // lives on, the order had been carried out for an earlier owner.
+      if (!op.worker.empty()) KeepWorker(op.worker);
+    }
+    over.push_back(id);
   }
   for (const std::string& id : over) {
     LogEvent(
@@ -97,6 +101,17 @@
   }
 }
 
+void PartitionOwner::KeepWorker(const std::string& id) {
+  WorkerState* worker = FindWorker(id);
+  if (worker == nullptr) return;
+  LogEvent(LogLevel::kInfo, "worker-kept", {{"worker", id}});
+  worker->ended = false;
+  worker->reserved = false;
+  // It gets tasks once it is stored again that they may run there.
+  worker->recorded = false;
+  SaveWorkers();
+}
+
 void PartitionOwner::ForgetEndedLives() {
   if (unread_workers_.empty()) return;
   std::set<std::string> living;
--- a/unittests/Partition/TakeOverKnowledgeTest.cc
+++ b/unittests/Partition/TakeOverKnowledgeTest.cc
@@ -149,5 +149,40 @@
   EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
 }
 
+TEST(TakeOverKnowledgeTest,
+     AnInstanceMaintainedBeforeATakeOverIsNotWaitedForASecondTime) {
+  FleetSim sim;
+  // No instance sleeps meanwhile: the maintained one comes first again.
+  sim.catalog.pools.erase("spare");
+  for (int i = 0; i < 4; ++i) sim.fleet.AddWorker("pool");
+  const std::vector<std::string> ids = sim.fleet.Ids();
+  const MaintenanceWave wave = {
+      .number = 1,
+      .instances = {"m-" + ids[0], "m-" + ids[1], "m-" + ids[2]},
+      .ramp_s = 30,
+      .max_at_once = 1};
+  sim.BeginTerm();
+  sim.owner->SetWave(wave);
+  for (int i = 0; i < 5000 && sim.fleet.most_in_maintenance == 0; ++i) {
+    sim.Run(Millis(1));
+  }
+  ASSERT_EQ(sim.fleet.most_in_maintenance, 1);
+  // The instance is down for its maintenance, and that is not stored.
+  sim.store.fault = SimFault::kSilent;
+  sim.Run(Millis(2600));
+  sim.owner->Close();
+  sim.store.fault = SimFault::kNone;
+  sim.BeginTerm();
+  sim.owner->SetWave(wave);
+  sim.Run(Millis(20000));
+  EXPECT_EQ(sim.store.Value("status/1"), "finished");
+  EXPECT_EQ(sim.fleet.most_in_maintenance, 1);
+  // All four workers take work.
+  sim.Submit(LastingJob(kJob, 4));
+  sim.Run(Millis(6000));
+  EXPECT_EQ(sim.fleet.Running(kJob), 4);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
 }  // namespace
 }  // namespace basilusher
