Plan an unanswered order for an instance anew once another life has begun there

Callers: running tasks end when their instance is taken for maintenance. Cause: an order without an answer was repeated until one came, whatever lived on the instance by then. If it had not been carried out and the worker was lost meanwhile, the next life got work, and the repeated order took that away: only the first worker was reserved and known to be empty. Change: once the list shows another worker than the one that was emptied, the operation is planned anew, and the new worker is emptied first. Price: such a worker is emptied once more than needed; not measured. Test on fakes, before: InstanceKnowledgeTest.AnOrderIsNotRepeatedOnAnotherLife..., "instance m-w3 taken with tasks". After: passes, with all of PartitionTests.

--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -163,8 +163,8 @@
   }
   WorkerState* worker = WorkerOn(it->second);
   const bool unsure = op->sent_at != TimePoint{};
-  if (!unsure && it->second.worker != op->worker) {
-    // Another life has begun since; plan anew.
+  if (it->second.worker != op->worker) {
+    // Another life has begun since, and may have work; plan anew.
     CancelOpLater(id);
     return;
   }
--- /dev/null
+++ b/unittests/Partition/InstanceKnowledgeTest.cc
@@ -0,0 +1,137 @@
+// Orders for instances of which the list, or an answer, is out of date.
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "FleetSim.h"
+
+namespace basilusher {
+namespace {
+
+constexpr const char* kJob = "00000000000000a1";
+constexpr Millis kCallTimeout{1000};
+
+/// The provider of the fakes, as one whose list is old or that does not answer.
+/// One instance may get another worker: that of an instance which is not shown.
+class OldProvider : public InstanceProvider {
+ public:
+  explicit OldProvider(FleetSim* sim) : sim_(sim) {}
+
+  void List(std::function<void(const InstanceList&)> done) override {
+    sim_->fleet.List([this, done](const InstanceList& list) {
+      last_ = list;
+      std::string worker;
+      std::erase_if(last_.instances, [&](const Instance& instance) {
+        if (instance.id != hidden) return false;
+        worker = instance.worker;
+        return true;
+      });
+      for (Instance& instance : last_.instances) {
+        if (instance.id == shown && !hidden.empty()) instance.worker = worker;
+      }
+      done(last_);
+    });
+  }
+  void Move(const std::string&, const std::string&, std::int64_t,
+            std::function<void(InstanceResult)> done) override {
+    done(InstanceResult::kRefused);
+  }
+  void Maintain(const std::string& id, std::int64_t wave, std::int64_t fence,
+                std::function<void(InstanceResult)> done) override {
+    ++orders;
+    if (silent) {
+      sim_->timers.After(kCallTimeout,
+                         [done] { done(InstanceResult::kUnknown); });
+      return;
+    }
+    sim_->fleet.Maintain(id == shown && !hidden.empty() ? hidden : id, wave,
+                         fence, done);
+  }
+
+  /// Orders are not carried out and not answered.
+  bool silent = false;
+  /// The instance whose worker is that of `hidden`.
+  std::string shown;
+  std::string hidden;
+  int orders = 0;
+
+ private:
+  FleetSim* sim_;
+  InstanceList last_;
+};
+
+/// An owner of three workers; on two of them lasting tasks run.
+class InstanceKnowledgeTest : public ::testing::Test {
+ protected:
+  InstanceKnowledgeTest() {
+    sim.catalog.pools.erase("spare");
+    for (int i = 0; i < 3; ++i) sim.fleet.AddWorker("pool");
+    owner = std::make_shared<PartitionOwner>(
+        OwnerPorts{.store = &sim.store,
+                   .workers = &sim.fleet,
+                   .instances = &provider,
+                   .timers = &sim.timers,
+                   .clock = &sim.timers,
+                   .formats = &sim.formats},
+        OwnerOptions{.node = "node",
+                     .term = 1,
+                     .term_revision = sim.store.Put(RecordKeys().owner, "1")},
+        PartitionOwner::Listener{
+            .on_deposed = [] {},
+            .confirmed_until =
+                [this] { return sim.timers.Now() + Millis(1500); }});
+    owner->Begin(std::make_shared<Catalog>(sim.catalog));
+    sim.Run(Millis(300));
+    Submit(kJob, 2);
+    sim.Run(Millis(1000));
+    for (const std::string& id : sim.fleet.Ids()) {
+      if (sim.fleet.Find(id)->running.empty()) idle = id;
+    }
+    wave.instances = {"m-" + idle};
+  }
+  ~InstanceKnowledgeTest() override { owner->Close(); }
+  InstanceKnowledgeTest(const InstanceKnowledgeTest&) = delete;
+  InstanceKnowledgeTest& operator=(const InstanceKnowledgeTest&) = delete;
+
+  void Submit(const std::string& id, int tasks) {
+    JobSpec job = FleetSim::MakeJob(id, tasks, 0);
+    job.steps[0].lasting = true;
+    job.steps[0].max_per_worker = 1;
+    job.offered_term = 1;
+    sim.Submit(job);
+  }
+
+  /// The idle worker's process is lost; another one begins on its instance and
+  /// gets work.
+  void ReplaceIdleWorker() {
+    sim.fleet.Crash(idle);
+    sim.Run(Millis(1200));
+    provider.shown = "m-" + idle;
+    const std::string fresh = sim.fleet.AddWorker("pool");
+    provider.hidden = "m-" + fresh;
+    sim.Run(Millis(100));
+    Submit("00000000000000b2", 3);
+    sim.Run(Millis(200));
+    ASSERT_EQ(sim.fleet.Find(fresh)->running.size(), 1U);
+  }
+
+  FleetSim sim;
+  OldProvider provider{&sim};
+  std::shared_ptr<PartitionOwner> owner;
+  std::string idle;
+  MaintenanceWave wave{.number = 1, .ramp_s = 20, .max_at_once = 1};
+};
+
+TEST_F(InstanceKnowledgeTest, AnOrderIsNotRepeatedOnAnotherLifeThatHasWork) {
+  provider.silent = true;
+  owner->SetWave(wave);
+  sim.Run(Millis(500));
+  ASSERT_GT(provider.orders, 0);
+  ReplaceIdleWorker();
+  sim.Run(Millis(1500));
+  provider.silent = false;
+  sim.Run(Millis(3000));
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
+}  // namespace
+}  // namespace basilusher
