Do not take a worker that does not answer for an empty one

Callers: running tasks end when their instance is taken for maintenance. Cause: an instance counted as empty by the last lists of the worker that its own list shows. Both can be old: the worker was lost, another life had begun and had work, and the list of instances did not show that yet. The lists of a lost worker counted for as long as its leases, 4 s. Change: a worker that has left two looks unanswered is not empty. Test on fakes, before: InstanceKnowledgeTest.AWorkerThatDoesNotAnswer..., with a list of instances that is about two seconds old: "instance m-w3 taken with tasks". After: passes, with all of PartitionTests.

--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -133,8 +133,9 @@
     const auto pool = catalog_->pools.find(instance.pool);
     return pool != catalog_->pools.end() && pool->second.spare;
   }
+  // A silent worker's lists are old, and another life may have begun.
   return worker->tasks.empty() && worker->strangers_listed == 0 &&
-         worker->link->Synced();
+         worker->link->Synced() && !worker->link->Silent();
 }
 
 void PartitionOwner::BeginOp(const Instance& instance, std::int64_t wave,
--- a/unittests/Partition/InstanceKnowledgeTest.cc
+++ b/unittests/Partition/InstanceKnowledgeTest.cc
@@ -17,6 +17,10 @@
   explicit OldProvider(FleetSim* sim) : sim_(sim) {}
 
   void List(std::function<void(const InstanceList&)> done) override {
+    if (stale) {
+      sim_->timers.After(Millis(1), [done, list = last_] { done(list); });
+      return;
+    }
     sim_->fleet.List([this, done](const InstanceList& list) {
       last_ = list;
       std::string worker;
@@ -47,6 +51,8 @@
                          fence, done);
   }
 
+  /// The list stays as it was.
+  bool stale = false;
   /// Orders are not carried out and not answered.
   bool silent = false;
   /// The instance whose worker is that of `hidden`.
@@ -133,5 +139,15 @@
   EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
 }
 
+TEST_F(InstanceKnowledgeTest, AWorkerThatDoesNotAnswerIsNotTakenForAnEmptyOne) {
+  provider.stale = true;
+  ReplaceIdleWorker();
+  owner->SetWave(wave);
+  sim.Run(Millis(500));
+  provider.stale = false;
+  sim.Run(Millis(3000));
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
 }  // namespace
 }  // namespace basilusher
