Begin no term of which a later owner was told that it is over

Callers: a task may run twice (TWICE) after two elections in quick succession while the store answers slowly. Cause: a new owner asks the earlier one's node to end its term and then waits for unread workers only as long as a lease lasts. A node answered "ended" also while the answer of its own election was still on its way (the write was done, its answer slow or lost), and took up that term afterwards, for up to 8 s without confirmation. Change: the answer binds. No term below the asker's begins at this node any more. Ruled out: a stuck election. The asker's key has replaced that of the earlier term, so nobody waits for a holder that does not take up.

--- a/include/basilusher/Node/NodeAgent.h
+++ b/include/basilusher/Node/NodeAgent.h
@@ -50,7 +50,8 @@
   /// Takes effect with the next term that this node holds.
   void SetBounds(Millis task_lease, Millis final_retention,
                  Millis holder_lease);
-  /// Ends the term that a peer says is over; true if none is held after it.
+  /// Ends the term that a peer says is over; true if none is held after it. No
+  /// term below `term` begins here from then on.
   bool EndTermBelow(std::int64_t term);
 
   /// The owner while this node holds the term and has loaded its records.
@@ -91,7 +92,7 @@
   std::map<std::string, std::string> peers_;
   std::map<std::int64_t, MaintenanceWave> waves_;
   std::int64_t term_ = 0;
-  /// The last term that this process held and has ended.
+  /// The last term that this process does not hold any more, or never will.
   std::int64_t last_ended_term_ = 0;
   std::int64_t term_key_revision_ = 0;
   std::int64_t lease_ = 0;
--- a/lib/Node/NodeAgent.cc
+++ b/lib/Node/NodeAgent.cc
@@ -211,7 +211,7 @@
 }
 
 void NodeAgent::OnElected(std::int64_t term, std::int64_t revision) {
-  if (owner_ != nullptr || stopping_) return;
+  if (owner_ != nullptr || stopping_ || term <= last_ended_term_) return;
   LogEvent(LogLevel::kInfo, "elected", {{"term", term}});
   OwnerOptions options = options_.owner;
   options.term = term;
@@ -275,6 +275,9 @@
 }
 
 bool NodeAgent::EndTermBelow(std::int64_t term) {
+  // The asker relies on it: an election whose answer is still on its way is
+  // over too.
+  last_ended_term_ = std::max(last_ended_term_, term - 1);
   if (owner_ != nullptr && owner_->Term() < term) {
     Depose("a later owner asked");
   }
@@ -285,7 +288,7 @@
   if (owner_ == nullptr) return;
   LogEvent(LogLevel::kWarning, "term-ended",
            {{"term", owner_->Term()}, {"reason", reason}});
-  last_ended_term_ = owner_->Term();
+  last_ended_term_ = std::max(last_ended_term_, owner_->Term());
   owner_->Close();
   owner_.reset();
   if (owner_view_.incarnation == options_.incarnation) {
