Take an earlier owner's word only if no term lies between

Callers: a task runs twice (TWICE) after a term that the next owner never heard of. Cause: the next owner asks the holder that it saw last. If its watch was away for a whole term (the list then shows no holder), that is not the last one, and its "my term is over" shortened the wait for unread workers from 12 s to 4 s while the last one went on with its leases. Change: the holder is asked only if its term is the one just before. Not covered here: an owner before the last one that still renews leases; its successor's word says nothing of it (the lead's part). After: passes, with all of NodeTests.

--- a/lib/Node/NodeAgent.cc
+++ b/lib/Node/NodeAgent.cc
@@ -247,6 +247,8 @@
 
 void NodeAgent::AskEarlierOwner(const OwnerView& earlier) {
   if (earlier.address.empty()) return;
+  // A term between the two was not heard of: its owner may still go on.
+  if (earlier.term + 1 != owner_->Term()) return;
   if (earlier.node == options_.node) {
     owner_->NoteEarlierOwnerStopped();
     return;
--- a/unittests/Node/EndOfTermTest.cc
+++ b/unittests/Node/EndOfTermTest.cc
@@ -1,4 +1,5 @@
 // What a node's word that its term is over is worth to the next owner.
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include "SimNode.h"
@@ -8,6 +9,15 @@
 
 /// Share of a core of a weak node.
 constexpr double kWeak = 0.1;
+constexpr char kJob[] = "00000000000000a1";
+
+std::string Holder(const std::string& node, std::int64_t term) {
+  return Json({{"node", node},
+               {"address", node + ":7000"},
+               {"incarnation", node + "-1"},
+               {"term", term}})
+      .dump();
+}
 
 TEST(EndOfTermTest, ANodeThatSaidItsTermIsOverDoesNotBeginItAfterwards) {
   FleetSim sim;
@@ -29,5 +39,52 @@
   }
 }
 
+TEST(EndOfTermTest, TheWordOfAnOwnerBeforeTheLastOneSaysNothingOfTheLastOne) {
+  FleetSim sim;
+  for (int i = 0; i < 3; ++i) sim.fleet.AddWorker("pool");
+  const RecordKeys keys;
+  sim.store.Put(keys.term, Json({{"term", 1}}).dump());
+  sim.store.Put(keys.owner, Holder("a", 1));
+  SimPeers peers(&sim.timers);
+  PeerMethods a;
+  a.On(PeerPaths::kEndTerm, [](const Json&, PeerCallback done) {
+    done(Json{{"ended", true}});
+  });
+  peers.Attach("a:7000", &a);
+  SimNode c(&sim, &peers, "c");
+  sim.Run(Millis(500));
+  // The second owner's term begins and ends while this node hears nothing.
+  c.store.silent = true;
+  sim.Run(Millis(2000));
+  sim.store.Put(keys.owner, Holder("b", 2));
+  sim.store.Put(keys.term, Json({{"term", 2}}).dump());
+  const std::string worker = sim.fleet.Ids().front();
+  sim.store.Put(keys.workers, Json({{worker, worker + ":1"}}).dump());
+  JobSpec job = FleetSim::MakeJob(kJob, 1, 0);
+  job.steps[0].lasting = true;
+  job.offered_term = 2;
+  sim.Submit(job);
+  sim.store.Remove(keys.owner);
+  sim.store.Compact();
+  // It goes on with its work for as long as it may, out of the next one's
+  // sight.
+  SimWorker* held = sim.fleet.Find(worker);
+  held->fault = SimFault::kSilent;
+  held->fence = 2000000;
+  held->lease_ms = (sim.timers.Now() - held->born_at + Millis(10000)).count();
+  held->running[{.job = kJob}] = {.run = 1001,
+                                  .begun_at = sim.timers.Now(),
+                                  .ends_at = sim.timers.Now() + Millis(60000)};
+  c.store.silent = false;
+  sim.Run(Millis(8000));
+  ASSERT_NE(c.agent->LocalOwner(), nullptr);
+  ASSERT_EQ(c.agent->LocalOwner()->Term(), 3);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+  // Its leases are over.
+  sim.Run(Millis(8000));
+  EXPECT_EQ(sim.fleet.Running(kJob), 1);
+  EXPECT_THAT(sim.fleet.Broken(), testing::IsEmpty());
+}
+
 }  // namespace
 }  // namespace basilusher
