Pass over a removal that is older than what the list showed

Callers: a worker that was removed and listed again while a directory of several pages was read was taken for gone and new once more. Repeated writes were passed over by their revision; a removal was reported whatever its revision. Change: a removal with a revision below the known state's is passed over. What an owner does with a removal and a return in one answer is not changed here.

--- a/lib/Store/StoreWatcher.cc
+++ b/lib/Store/StoreWatcher.cc
@@ -67,7 +67,12 @@
 
 void StoreWatcher::Report(const StoredItem& item) {
   if (item.removed) {
-    if (revisions_.erase(item.key) == 0) return;
+    const auto it = revisions_.find(item.key);
+    if (it == revisions_.end()) return;
+    // A later page may have shown what was written after this removal. What a
+    // list does not show any more has no revision.
+    if (item.revision != 0 && item.revision < it->second) return;
+    revisions_.erase(it);
   } else {
     std::int64_t& known = revisions_[item.key];
     if (known >= item.revision) return;
--- /dev/null
+++ b/unittests/Partition/StoreWatcherTest.cc
@@ -0,0 +1,65 @@
+// What a watcher reports when the pages of its list are no snapshot.
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "FleetSim.h"
+#include "basilusher/Store/StoreWatcher.h"
+
+namespace basilusher {
+namespace {
+
+constexpr Millis kLatency{4};
+
+/// Answers one list and one watch as told; later watches stay quiet.
+class ScriptedStore : public SimStore {
+ public:
+  explicit ScriptedStore(SimTimers* timers)
+      : SimStore(timers), timers_(timers) {}
+
+  void List(const std::string&, StoreAnswerCallback done) override {
+    timers_->After(kLatency, [this, done] { done(list); });
+  }
+  void Watch(const std::string&, std::int64_t, Millis wait,
+             StoreAnswerCallback done) override {
+    const StoreAnswer answer = watch;
+    watch.items.clear();
+    timers_->After(answer.items.empty() ? wait : kLatency,
+                   [done, answer] { done(answer); });
+  }
+
+  StoreAnswer list{.status = TxnStatus::kOk};
+  StoreAnswer watch{.status = TxnStatus::kOk};
+
+ private:
+  SimTimers* timers_;
+};
+
+TEST(StoreWatcherTest, ARemovalBeforeTheStateThatALaterPageShowedIsNoNews) {
+  SimTimers timers;
+  ScriptedStore store(&timers);
+  // The first page was read at revision 10. The key was removed at 11 and
+  // written again at 12, before the second page was read.
+  store.list.revision = 10;
+  store.list.items = {{.key = "w/a", .value = "1", .revision = 3},
+                      {.key = "w/b", .value = "2", .revision = 12}};
+  store.watch.revision = 13;
+  store.watch.items = {{.key = "w/b", .revision = 11, .removed = true},
+                       {.key = "w/b", .value = "2", .revision = 12},
+                       {.key = "w/a", .revision = 13, .removed = true}};
+  std::vector<std::string> heard;
+  const std::shared_ptr<StoreWatcher> watcher = std::make_shared<StoreWatcher>(
+      &store, &timers, &timers, StoreWatcherOptions{.prefix = "w/"},
+      StoreWatcher::Listener{.on_item =
+                                 [&heard](const StoredItem& item) {
+                                   heard.push_back((item.removed ? "-" : "+") +
+                                                   item.key);
+                                 },
+                             .on_loaded = {}});
+  watcher->Begin();
+  timers.Run(Millis(100));
+  watcher->Close();
+  EXPECT_THAT(heard, testing::ElementsAre("+w/a", "+w/b", "-w/a"));
+}
+
+}  // namespace
+}  // namespace basilusher
