--- a/include/basilusher/Control/TaskHome.h
+++ b/include/basilusher/Control/TaskHome.h
@@ -113,6 +113,8 @@
   struct Bucket {
     std::unique_ptr<Journal> journal;
     std::map<std::string, Task> tasks;
+    /// Started tasks whose present run this entry holds, by the records read.
+    std::set<std::string> held;
   };
   struct ActiveRun {
     std::string task_id;
--- a/lib/Control/TaskHome.cc
+++ b/lib/Control/TaskHome.cc
@@ -108,10 +108,12 @@
   const int run = record.at("run").get<int>();
   if (run < task.run) return;
   task.run = run;
+  bucket->held.erase(id);
   if (kind == kStartRecord) {
     task.phase = Phase::kStarted;
     task.worker = record.at("worker").get<std::string>();
     task.holder = record.at("holder").get<std::string>();
+    if (task.holder == ToString(context_.Self())) bucket->held.insert(id);
   } else if (kind == kQueueRecord) {
     task.phase = Phase::kQueued;
     task.submitted = false;
@@ -229,10 +231,12 @@
           context_, JournalOptions{.prefix = TaskSubject(number) + "/"},
           [this, bucket](const Json& record) { Apply(bucket, record); });
     }
-    // Records of other writers matter to the home alone.
-    if (reload && IsHome(number)) bucket->journal->Refresh();
+    // Records of other writers matter to the home, and to the holder of a run:
+    // its home may have moved, and the new home records the cancel.
+    const bool concerned = IsHome(number) || !bucket->held.empty();
+    if (reload && concerned) bucket->journal->Refresh();
     bucket->journal->OnTick();
-    TickBucket(number, bucket);
+    if (concerned) TickBucket(number, bucket);
   }
   std::vector<std::string> ids;
   for (const std::pair<const std::string, ActiveRun>& row : runs_) {
@@ -245,11 +249,11 @@
 }
 
 void TaskHome::TickBucket(int number, Bucket* bucket) {
-  if (!IsHome(number)) return;
   if (!bucket->journal->Loaded()) {
     bucket->journal->Load();
     return;
   }
+  if (!IsHome(number)) return;
   std::vector<Task*> open;
   for (std::pair<const std::string, Task>& row : bucket->tasks) {
     if (row.second.phase != Phase::kEnded) open.push_back(&row.second);
--- a/unittests/Control/Bench.cc
+++ b/unittests/Control/Bench.cc
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr Millis kStep{5};
-constexpr Millis kNetworkDelay{1};
 constexpr Millis kStoreTimeout{1000};
 constexpr Millis kRebootTime{500};
 /// Bound of the brief's "within seconds".
@@ -160,6 +159,7 @@
   claims = std::make_unique<ClaimHome>(context);
   front = std::make_unique<FrontDoor>(context, this);
   fleet = std::make_unique<FleetAgent>(context, this);
+  tasks = std::make_unique<TaskHome>(context, this);
 }
 
 Node::~Node() = default;
@@ -192,6 +192,7 @@
   places->OnMessage(from, message);
   claims->OnMessage(from, message);
   front->OnMessage(from, message);
+  tasks->OnMessage(from, message);
 }
 
 void Node::Tick() {
@@ -217,6 +218,7 @@
   claims->OnTick();
   front->OnTick();
   fleet->OnTick();
+  tasks->OnTick();
 }
 
 void Node::Drain(const WorkerInfo& worker, std::int64_t fence,
@@ -267,6 +269,10 @@
 }
 
 void Node::Dispatch(const DispatchOrder& order) {
+  if (!TaskOfRequest(order.request_id).empty()) {
+    bench->ForNode(this, Millis(0), [this, order] { tasks->OnOrder(order); });
+    return;
+  }
   const std::string kind =
       bench->calls.at(order.request_id).once ? "once" : "many";
   const Effect effect = bench->OnStep({"dispatch " + kind, info.instance});
@@ -338,6 +344,12 @@
 }
 
 void Node::Finish(const std::string& request_id, const Answer& answer) {
+  if (!TaskOfRequest(request_id).empty()) {
+    bench->ForNode(this, Millis(0), [this, request_id, answer] {
+      tasks->OnFinished(request_id, answer);
+    });
+    return;
+  }
   Call& call = bench->calls.at(request_id);
   ++call.answers;
   call.answer = answer;
--- a/unittests/Control/Bench.h
+++ b/unittests/Control/Bench.h
@@ -17,11 +17,15 @@
 #include "basilusher/Control/MembershipAgent.h"
 #include "basilusher/Control/PlaceHome.h"
 #include "basilusher/Control/SlotHome.h"
+#include "basilusher/Control/TaskHome.h"
 #include "basilusher/Standin/WorkerCore.h"
 #include "basilusher/Store/MemoryStore.h"
 
 namespace basilusher::testing {
 
+/// Way of a message or a call between processes.
+inline constexpr Millis kNetworkDelay{1};
+
 class FakeClock : public Clock {
  public:
   TimePoint Now() const override { return now; }
@@ -30,7 +34,8 @@
 
 /// Something that an entry does and at which a fault can strike.
 struct StepEvent {
-  /// Kind of the message, or "swap <key>", "dispatch", "answer".
+  /// Kind of the message, or "swap <key>", "dispatch", "answer", "task start",
+  /// "task renew", "task stop".
   std::string name;
   std::string instance;
 };
@@ -48,7 +53,8 @@
 class Node : public Bus,
              public Dispatcher,
              public WorkerSurvey,
-             public FleetPort {
+             public FleetPort,
+             public TaskPort {
  public:
   Node(Bench* bench, const std::string& instance, std::int64_t incarnation);
   ~Node() override;
@@ -58,13 +64,23 @@
   void Finish(const std::string& request_id, const Answer& answer) override;
   void CheckRun(const WorkerInfo& worker, const std::string& request_id,
                 int attempt) override;
-  void StopRun(const std::string& /*request_id*/) override {}
+  void StopRun(const std::string& request_id) override;
   void ProveGone(const PeerId& holder, std::function<void(bool)> done) override;
   void Drain(const WorkerInfo& worker, std::int64_t fence,
              std::function<void(int running)> done) override;
   void Admit(const WorkerInfo& worker, std::int64_t fence,
              std::function<void(bool admitted)> done) override;
   void Release(const WorkerInfo& worker, std::int64_t maintained) override;
+  void Submit(const Submission& submission) override;
+  void Report(const std::string& request_id, int attempt,
+              const DispatchResult& result) override;
+  void Start(const DispatchOrder& order, const std::string& body,
+             std::function<void(DispatchStatus)> done) override;
+  void Renew(const WorkerInfo& worker, const std::string& request_id,
+             std::function<void(const TaskRunReport&)> done) override;
+  void Stop(const WorkerInfo& worker, const std::string& request_id,
+            std::function<void(const TaskRunReport&)> done) override;
+  void Reply(const TaskAnswer& answer) override;
   void Deliver(const PeerId& from, const Message& message);
   void Tick();
 
@@ -92,6 +108,13 @@
   std::unique_ptr<ClaimHome> claims;
   std::unique_ptr<FrontDoor> front;
   std::unique_ptr<FleetAgent> fleet;
+  std::unique_ptr<TaskHome> tasks;
+
+ private:
+  /// One call about a task's run; its answer may be lost.
+  void CallTask(const std::string& step,
+                const std::function<WorkerTaskState()>& call,
+                const std::function<void(const TaskRunReport&)>& done);
 };
 
 /// What a caller sent and got.
@@ -117,6 +140,12 @@
   /// Sends a request to `node`; repeated tags share an idempotency key.
   void Request(const std::string& node, const std::string& queue,
                const std::string& team, const std::string& tag);
+  /// Asks about the task `id` of team "a" by way of `node`; a submitted task
+  /// works for `work`. Returns the answer, with an empty state without one.
+  TaskAnswer AskTask(const std::string& node, TaskOperation operation,
+                     const std::string& id, Millis work = Millis(0));
+  /// State of a task as its home tells it to `node`; empty without an answer.
+  std::string TaskState(const std::string& node, const std::string& id);
   /// Publishes the bench's intent with this limit of team "a"; `w3_pool` is the
   /// pool of worker w3 by the intent.
   void Publish(const std::string& node, int limit_a,
@@ -161,6 +190,8 @@
   std::map<std::string, WorkerCore> workers;
   std::map<std::string, WorkerInfo> worker_infos;
   std::map<std::string, Call> calls;
+  /// Answers to calls about tasks, by call.
+  std::map<std::string, TaskAnswer> task_answers;
   std::map<std::string, std::string> keys;
   /// Withdrawals handed to an entry and not accepted yet: team and key id. One
   /// is accepted once the store or a majority of entries has it; before that
--- /dev/null
+++ b/unittests/Control/TaskHomeTest.cc
@@ -0,0 +1,85 @@
+// Tasks on the bench: cancels and ends that must not be lost.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "Bench.h"
+
+namespace basilusher::testing {
+namespace {
+
+constexpr Millis kLongTask{600000};
+/// What the whole-program test gives a cancel; the bench has no load to wait
+/// for.
+constexpr Millis kCancelBound{30000};
+
+/// The home of a task's bucket, as `node` sees it.
+std::string HomeOfTask(Bench* bench, const std::string& node,
+                       const std::string& id) {
+  return HomeOf(*bench->Get(node)->views.Current(),
+                TaskSubject(TaskBucketOf(id)));
+}
+
+/// A task whose bucket has its home on `home` while all three entries serve.
+std::string TaskWithHome(Bench* bench, const std::string& home) {
+  for (int n = 0; n < 1000; ++n) {
+    std::string id = std::to_string(n);
+    if (HomeOfTask(bench, "n1", id) == home) return id;
+  }
+  ADD_FAILURE() << "no bucket has its home on " << home;
+  return "";
+}
+
+std::string AnyTaskHome(Bench* bench) { return HomeOfTask(bench, "n1", "1"); }
+
+/// Waits until the task's state is `wanted`, as `node` is told.
+bool WaitState(Bench* bench, const std::string& node, const std::string& id,
+               const std::string& wanted, Millis bound) {
+  const TimePoint until = bench->clock.now + bound;
+  while (bench->clock.now < until) {
+    if (bench->TaskState(node, id) == wanted) return true;
+  }
+  return false;
+}
+
+void SubmitAndRun(Bench* bench, const std::string& node, const std::string& id,
+                  Millis work = kLongTask) {
+  const TaskAnswer answer =
+      bench->AskTask(node, TaskOperation::kSubmit, id, work);
+  ASSERT_EQ(answer.code, 0);
+  ASSERT_TRUE(answer.state.is_object());
+  ASSERT_TRUE(WaitState(bench, node, id, "running", Millis(5000)));
+}
+
+int CodeOf(ResultCode code) { return static_cast<int>(code); }
+
+TEST(TaskHome, ACancelEndsARun) {
+  Bench bench(1);
+  SubmitAndRun(&bench, "n1", "1");
+  EXPECT_EQ(bench.AskTask("n2", TaskOperation::kCancel, "1").code, 0);
+  ASSERT_TRUE(WaitState(&bench, "n3", "1", "ended", kCancelBound));
+  const TaskAnswer end = bench.AskTask("n1", TaskOperation::kQuery, "1");
+  EXPECT_EQ(end.state["code"], CodeOf(ResultCode::kCancelledWhileRunning));
+  EXPECT_EQ(bench.RunningOf("a"), 0);
+}
+
+TEST(TaskHome, ACancelReachesTheHolderOfARunWhoseHomeMovedAway) {
+  Bench bench(1);
+  const std::string late = AnyTaskHome(&bench);
+  const std::string other = late == "n1" ? "n2" : "n1";
+  const std::string id = TaskWithHome(&bench, late);
+  // The others don't hear `late` for a while, and one of them takes its home.
+  bench.Get(late)->peers_cut = true;
+  bench.Advance(Millis(4000));
+  ASSERT_NE(HomeOfTask(&bench, other, id), late);
+  SubmitAndRun(&bench, other, id);
+  bench.Get(late)->peers_cut = false;
+  bench.Advance(Millis(2000));
+  ASSERT_EQ(HomeOfTask(&bench, other, id), late);
+  EXPECT_EQ(bench.AskTask(other, TaskOperation::kCancel, id).code, 0);
+  EXPECT_TRUE(WaitState(&bench, other, id, "ended", kCancelBound));
+  EXPECT_EQ(bench.RunningOf("a"), 0);
+}
+
+}  // namespace
+}  // namespace basilusher::testing
