Settle a run again whose settling was not answered or not stored

It happens if the one call that settles a run gets no answer within its 500 ms, or if the store does not take the record of the end.

Cause: when the front door was done with a run, its task was settled once. A settling without an answer and a failed append only reset a flag; the tick settled runs of lost holders alone, and here the holder is alive.

--- a/include/basilusher/Control/TaskHome.h
+++ b/include/basilusher/Control/TaskHome.h
@@ -133,6 +133,9 @@
   void Cancel(const PeerId& from, const TaskAsk& ask);
   void SendAnswer(const PeerId& to, const TaskAsk& ask, ResultCode code);
   void TickBucket(int number, Bucket* bucket);
+  /// Settles runs of this entry that nothing watches any more, such as those
+  /// whose settling call was not answered or whose end was not stored.
+  void SettleAbandoned(Bucket* bucket);
   void TickTask(Bucket* bucket, Task* task);
   void TickRun(const std::string& request_id, ActiveRun* run);
   void OnRenewed(const std::string& request_id, const TaskRunReport& report);
--- a/lib/Control/TaskHome.cc
+++ b/lib/Control/TaskHome.cc
@@ -253,6 +253,7 @@
     bucket->journal->Load();
     return;
   }
+  SettleAbandoned(bucket);
   if (!IsHome(number)) return;
   std::vector<Task*> open;
   for (std::pair<const std::string, Task>& row : bucket->tasks) {
@@ -261,6 +262,16 @@
   for (Task* task : open) TickTask(bucket, task);
 }
 
+void TaskHome::SettleAbandoned(Bucket* bucket) {
+  const std::vector<std::string> held(bucket->held.begin(), bucket->held.end());
+  for (const std::string& id : held) {
+    Task* task = &bucket->tasks.at(id);
+    // The front door is not done with it yet.
+    if (task->submitted) continue;
+    if (!runs_.contains(TaskRequestId(id, task->run))) Settle(bucket, task);
+  }
+}
+
 void TaskHome::TickTask(Bucket* bucket, Task* task) {
   const TimePoint now = context_.clock->Now();
   if (task->phase == Phase::kStarted) {
--- a/unittests/Control/TaskHomeTest.cc
+++ b/unittests/Control/TaskHomeTest.cc
@@ -81,5 +81,56 @@
   EXPECT_EQ(bench.RunningOf("a"), 0);
 }
 
+/// The first stop ends the run at its worker; the second one, which settles
+/// the task, is not answered in time.
+TEST(TaskHome, ACancelledRunIsSettledAgainIfItsSettlingStopIsNotAnswered) {
+  Bench bench(1);
+  SubmitAndRun(&bench, "n1", "1");
+  int stops = 0;
+  bench.hook = [&stops](const StepEvent& event) -> Effect {
+    if (event.name == "task stop" && ++stops == 2) return {.lose_answer = true};
+    return {};
+  };
+  EXPECT_EQ(bench.AskTask("n1", TaskOperation::kCancel, "1").code, 0);
+  EXPECT_TRUE(WaitState(&bench, "n1", "1", "ended", kCancelBound));
+  EXPECT_GE(stops, 2);
+}
+
+TEST(TaskHome, ARunWhoseStartAndSettlingStopAreNotAnsweredIsCancelled) {
+  Bench bench(1);
+  bool lost_stop = false;
+  bench.hook = [&lost_stop](const StepEvent& event) -> Effect {
+    if (event.name == "task start") return {.lose_answer = !lost_stop};
+    if (event.name != "task stop" || lost_stop) return {};
+    lost_stop = true;
+    return {.lose_answer = true};
+  };
+  SubmitAndRun(&bench, "n1", "1");
+  bench.Advance(Millis(2000));
+  ASSERT_TRUE(lost_stop);
+  EXPECT_EQ(bench.AskTask("n1", TaskOperation::kCancel, "1").code, 0);
+  EXPECT_TRUE(WaitState(&bench, "n1", "1", "ended", kCancelBound));
+}
+
+TEST(TaskHome, AnEndThatTheStoreDidNotTakeIsRecordedLater) {
+  Bench bench(1);
+  SubmitAndRun(&bench, "n1", "1", Millis(3000));
+  bool armed = true;
+  bench.hook = [&bench, &armed](const StepEvent& event) -> Effect {
+    // The end is the next record of the tasks' journals.
+    if (armed && event.name.rfind("swap tasks/", 0) == 0) {
+      armed = false;
+      bench.store_down = true;
+    }
+    return {};
+  };
+  bench.Advance(Millis(6000));
+  ASSERT_FALSE(armed);
+  bench.store_down = false;
+  ASSERT_TRUE(WaitState(&bench, "n1", "1", "ended", kCancelBound));
+  const TaskAnswer end = bench.AskTask("n1", TaskOperation::kQuery, "1");
+  EXPECT_EQ(end.state["outcome"], "ran");
+}
+
 }  // namespace
 }  // namespace basilusher::testing
