End a cancelled task at once while it waits for a place

Callers saw (on the fakes): a cancelled task that waits for a place or a slot stays "queued" until its turn comes or its hour is over.

Cause: the home looked at the cancel only when the front door did not have the run; while a run waits the front door does.

The end's own precondition fails if a start was recorded before.

Test: TaskHome.ACancelEndsATaskThatWaitsForAPlace, before: not ended after 30 s of the bench's clock (FAILED); after: OK.

--- a/lib/Control/TaskHome.cc
+++ b/lib/Control/TaskHome.cc
@@ -278,12 +278,15 @@
     if (!IsAlive(task->holder)) Settle(bucket, task);
     return;
   }
-  if (task->submitted || task->settling || now < task->resume_at) return;
+  if (task->settling) return;
   if (task->cancelled) {
+    // No start is recorded after a cancel, so a run that the front door still
+    // holds back is refused when its turn comes.
     RecordEnd(task, {.outcome = static_cast<int>(Outcome::kNotRun),
                      .code = static_cast<int>(ResultCode::kCancelled)});
     return;
   }
+  if (task->submitted || now < task->resume_at) return;
   task->submitted = true;
   port_->Submit({.request_id = TaskRequestId(task->id, task->run + 1),
                  .queue = task->queue,
--- a/unittests/Control/TaskHomeTest.cc
+++ b/unittests/Control/TaskHomeTest.cc
@@ -132,5 +132,23 @@
   EXPECT_EQ(end.state["outcome"], "ran");
 }
 
+TEST(TaskHome, ACancelEndsATaskThatWaitsForAPlace) {
+  Bench bench(1);
+  // The limit of team "a" is taken by other tasks.
+  for (int n = 0; n < bench.limit_a; ++n) {
+    SubmitAndRun(&bench, "n1", "f" + std::to_string(n));
+  }
+  const TaskAnswer answer =
+      bench.AskTask("n1", TaskOperation::kSubmit, "1", kLongTask);
+  ASSERT_EQ(answer.code, 0);
+  bench.Advance(Millis(2000));
+  ASSERT_EQ(bench.TaskState("n1", "1"), "queued");
+  EXPECT_EQ(bench.AskTask("n1", TaskOperation::kCancel, "1").code, 0);
+  ASSERT_TRUE(WaitState(&bench, "n1", "1", "ended", kCancelBound));
+  const TaskAnswer end = bench.AskTask("n1", TaskOperation::kQuery, "1");
+  EXPECT_EQ(end.state["code"], CodeOf(ResultCode::kCancelled));
+  EXPECT_EQ(bench.RunsOf("1"), 0);
+}
+
 }  // namespace
 }  // namespace basilusher::testing
