Leave a run alone that another entry has started

Callers saw (on the fakes): a running task is stopped and begins anew as run 2, and one that may run once only would end with its outcome unknown.

Cause: two entries may submit the same run while the home moves.

Why this works: the holder in the start's record settles the run; any other entry ignores the answer to its own submission.

Test: TaskHome.ALateRefusalDoesNotStopTheRunOfAnotherHolder, before: run 2 instead of 1 (FAILED); after: OK.

--- a/lib/Control/TaskHome.cc
+++ b/lib/Control/TaskHome.cc
@@ -426,6 +426,8 @@
     return;
   }
   if (TaskRequestId(task_id, task->run) != request_id) return;
+  // Another entry started this run; it settles the task.
+  if (task->holder != ToString(context_.Self())) return;
   if (answer.outcome == Outcome::kRan) {
     RecordEnd(task, {.outcome = static_cast<int>(Outcome::kRan),
                      .code = static_cast<int>(answer.code),
--- a/unittests/Control/TaskHomeTest.cc
+++ b/unittests/Control/TaskHomeTest.cc
@@ -150,5 +150,28 @@
   EXPECT_EQ(bench.RunsOf("1"), 0);
 }
 
+/// An entry whose own submission of a run came too late must leave the run of
+/// the entry that started it alone.
+TEST(TaskHome, ALateRefusalDoesNotStopTheRunOfAnotherHolder) {
+  Bench bench(1);
+  const std::string home = AnyTaskHome(&bench);
+  const std::string other = home == "n1" ? "n2" : "n1";
+  const std::string id = TaskWithHome(&bench, home);
+  SubmitAndRun(&bench, home, id);
+  // Another entry is the task's home for a while and reads its journal.
+  bench.Get(home)->peers_cut = true;
+  bench.Advance(Millis(4000));
+  const std::string late = HomeOfTask(&bench, other, id);
+  ASSERT_NE(late, home);
+  bench.Get(home)->peers_cut = false;
+  bench.Advance(Millis(2000));
+  bench.Get(late)->tasks->OnFinished(TaskRequestId(id, 1),
+                                     {.outcome = Outcome::kNotRun});
+  bench.Advance(Millis(3000));
+  const TaskAnswer state = bench.AskTask(home, TaskOperation::kQuery, id);
+  EXPECT_EQ(state.state["state"], "running");
+  EXPECT_EQ(state.state["run"], 1);
+}
+
 }  // namespace
 }  // namespace basilusher::testing
