--- a/include/basilusher/Control/Journal.h
+++ b/include/basilusher/Control/Journal.h
@@ -59,6 +59,9 @@
   /// Reads records that other writers may have added, unless a call is under
   /// way.
   void Refresh();
+  /// Calls `done` once all records that are in the store by now have been read.
+  /// It is dropped if the store can't be read: the asker asks again.
+  void ReadUpToNow(std::function<void()> done);
   /// Queues `record` for the next write. `done` is called exactly once.
   void Append(Json record, Precondition precondition, AppendDone done);
   /// Queues a record without hurry: it goes out with the next write, or alone
@@ -88,12 +91,14 @@
   std::vector<PendingRecord*> ChooseBatch();
   void RejectStale();
   void SendBatch(const std::vector<PendingRecord*>& batch);
+  void BeginRead();
   void ReadTail();
   void OnLoaded(const StoreReply& reply);
   void OnTailRead(const StoreReply& reply);
   void OnSwapped(const StoreReply& reply);
   void ApplySegment(const StoreEntry& entry);
   void ApplyNew(const Json& record);
+  void ServeReaders();
   void SettlePending();
   void ForgetSealed();
   void GiveUpOverdue();
@@ -118,6 +123,10 @@
     std::int64_t sealed_micros = 0;
   };
   std::vector<Sealed> sealed_;
+  /// Calls that wait for a read to begin, and those that the read under way
+  /// serves.
+  std::vector<std::function<void()>> waiting_readers_;
+  std::vector<std::function<void()>> served_readers_;
   /// Records of the swap that is under way.
   std::vector<Json> writing_;
   bool writing_seals_ = false;
--- a/include/basilusher/Control/TaskHome.h
+++ b/include/basilusher/Control/TaskHome.h
@@ -115,6 +115,8 @@
     std::map<std::string, Task> tasks;
     /// Started tasks whose present run this entry holds, by the records read.
     std::set<std::string> held;
+    /// Whether the journal has been read since this entry became the home.
+    bool read_as_home = false;
   };
   struct ActiveRun {
     std::string task_id;
@@ -129,6 +131,7 @@
   Task* Find(const std::string& task_id);
   void Apply(Bucket* bucket, const Json& record);
   void OnAsk(const PeerId& from, const TaskAsk& ask);
+  void AnswerAsk(const PeerId& from, const TaskAsk& ask);
   void Accept(const PeerId& from, const TaskAsk& ask);
   void Cancel(const PeerId& from, const TaskAsk& ask);
   void SendAnswer(const PeerId& to, const TaskAsk& ask, ResultCode code);
--- a/lib/Control/Journal.cc
+++ b/lib/Control/Journal.cc
@@ -34,7 +34,7 @@
   const TimePoint now = context_.clock->Now();
   if (busy_ || now < next_load_) return;
   next_load_ = now + kLoadBackoff;
-  busy_ = true;
+  BeginRead();
   if (complete_once_ && now - last_read_ < kFullReadAfter) {
     ReadTail();
     return;
@@ -45,10 +45,30 @@
 
 void Journal::Refresh() {
   if (!loaded_ || busy_) return;
-  busy_ = true;
+  BeginRead();
   ReadTail();
 }
 
+void Journal::ReadUpToNow(std::function<void()> done) {
+  waiting_readers_.push_back(std::move(done));
+  if (loaded_) {
+    Refresh();
+  } else {
+    Load();
+  }
+}
+
+void Journal::BeginRead() {
+  busy_ = true;
+  served_readers_ = std::exchange(waiting_readers_, {});
+}
+
+void Journal::ServeReaders() {
+  const std::vector<std::function<void()>> served =
+      std::exchange(served_readers_, {});
+  for (const std::function<void()>& done : served) done();
+}
+
 void Journal::ReadTail() {
   context_.store->Get(StorePurpose::kClaim,
                       SegmentKey(options_.prefix, tail_number_),
@@ -74,6 +94,7 @@
   next_load_ = {};
   last_read_ = context_.clock->Now();
   SettlePending();
+  ServeReaders();
   StartWrite();
 }
 
@@ -90,6 +111,7 @@
   next_load_ = {};
   last_read_ = context_.clock->Now();
   SettlePending();
+  ServeReaders();
   StartWrite();
 }
 
@@ -145,7 +167,8 @@
 
 void Journal::OnTick() {
   GiveUpOverdue();
-  if (pending_.empty()) return;
+  if (loaded_ && !waiting_readers_.empty()) Refresh();
+  if (pending_.empty() && waiting_readers_.empty()) return;
   if (!loaded_) {
     Load();
     return;
--- a/lib/Control/TaskHome.cc
+++ b/lib/Control/TaskHome.cc
@@ -141,11 +141,22 @@
     bucket->journal->Load();
     if (!bucket->journal->Loaded()) return;
   }
-  const Task* task = Find(ask.task_id);
   if (ask.operation == TaskOperation::kSubmit) {
     Accept(from, ask);
     return;
   }
+  const bool is_home = IsHome(TaskBucketOf(ask.task_id));
+  if (is_home && bucket->read_as_home && Find(ask.task_id) != nullptr) {
+    AnswerAsk(from, ask);
+    return;
+  }
+  // Another home may have accepted or ended the task since this entry read the
+  // journal.
+  bucket->journal->ReadUpToNow([this, from, ask] { AnswerAsk(from, ask); });
+}
+
+void TaskHome::AnswerAsk(const PeerId& from, const TaskAsk& ask) {
+  const Task* task = Find(ask.task_id);
   if (task == nullptr || task->team != ask.team) {
     SendAnswer(from, ask, ResultCode::kUnknownTask);
     return;
@@ -189,12 +200,16 @@
   const Json record = {{"kind", kCancelRecord}, {"task", ask.task_id}};
   BucketFor(ask.task_id)
       ->journal->Append(
-          record, [this, id = ask.task_id] { return Find(id) != nullptr; },
+          record,
+          [this, id = ask.task_id] { return Find(id)->phase != Phase::kEnded; },
           [this, from, ask](AppendResult result) {
-            SendAnswer(from, ask,
-                       result == AppendResult::kCommitted
-                           ? ResultCode::kOk
-                           : ResultCode::kClaimUnavailable);
+            ResultCode code = ResultCode::kClaimUnavailable;
+            if (result == AppendResult::kCommitted) code = ResultCode::kOk;
+            if (result == AppendResult::kRejected) {
+              // Its end was read meanwhile.
+              code = ResultCode::kTaskEnded;
+            }
+            SendAnswer(from, ask, code);
           });
 }
 
@@ -234,6 +249,11 @@
     // Records of other writers matter to the home, and to the holder of a run:
     // its home may have moved, and the new home records the cancel.
     const bool concerned = IsHome(number) || !bucket->held.empty();
+    if (!IsHome(number)) {
+      bucket->read_as_home = false;
+    } else if (!bucket->read_as_home) {
+      bucket->journal->ReadUpToNow([bucket] { bucket->read_as_home = true; });
+    }
     if (reload && concerned) bucket->journal->Refresh();
     bucket->journal->OnTick();
     if (concerned) TickBucket(number, bucket);
--- a/unittests/Control/TaskHomeTest.cc
+++ b/unittests/Control/TaskHomeTest.cc
@@ -173,5 +173,50 @@
   EXPECT_EQ(state.state["run"], 1);
 }
 
+/// Asks `node` about a task, as an entry does that takes it for the home.
+TaskAnswer AskDirectly(Bench* bench, const std::string& node,
+                       TaskOperation operation, const std::string& id) {
+  bench->task_answers.erase("direct");
+  bench->Get(node)->Deliver({node, bench->Get(node)->info.incarnation},
+                            TaskAsk{.operation = operation,
+                                    .call_id = "direct",
+                                    .task_id = id,
+                                    .team = "a"});
+  bench->Advance(Millis(250));
+  return bench->task_answers["direct"];
+}
+
+TEST(TaskHome, AnEntryWithOldRecordsDoesNotCallATaskUnknown) {
+  Bench bench(1);
+  SubmitAndRun(&bench, "n1", "1");
+  for (const char* node : {"n1", "n2", "n3"}) {
+    const TaskAnswer answer =
+        AskDirectly(&bench, node, TaskOperation::kQuery, "1");
+    EXPECT_EQ(answer.code, 0) << node;
+    ASSERT_TRUE(answer.state.is_object()) << node;
+    EXPECT_EQ(answer.state["state"], "running") << node;
+  }
+  EXPECT_EQ(AskDirectly(&bench, "n2", TaskOperation::kQuery, "2").code,
+            CodeOf(ResultCode::kUnknownTask));
+}
+
+TEST(TaskHome, AnEntryWithOldRecordsDoesNotCancelAnEndedTask) {
+  Bench bench(1);
+  SubmitAndRun(&bench, "n1", "1", Millis(3000));
+  for (const char* node : {"n1", "n2", "n3"}) {
+    AskDirectly(&bench, node, TaskOperation::kQuery, "1");
+  }
+  ASSERT_TRUE(WaitState(&bench, "n1", "1", "ended", Millis(5000)));
+  for (const char* node : {"n1", "n2", "n3"}) {
+    EXPECT_EQ(AskDirectly(&bench, node, TaskOperation::kCancel, "1").code,
+              CodeOf(ResultCode::kTaskEnded))
+        << node;
+    const TaskAnswer answer =
+        AskDirectly(&bench, node, TaskOperation::kQuery, "1");
+    ASSERT_TRUE(answer.state.is_object()) << node;
+    EXPECT_EQ(answer.state["state"], "ended") << node;
+  }
+}
+
 }  // namespace
 }  // namespace basilusher::testing
