Stop tasks over a lowered limit; the handler was never set

Callers saw: when a team's limit was lowered below its running tasks, every entry that held such a task ended. All three entries of the test's deployment logged component-failed front-door, stopped, and callers were refused connections.

Cause: the front door asks the dispatcher to stop a run over the limit; the daemon's table of handlers had none for it, and calling the empty function threw in the front door's actor, whose failure ends the process.

Why this works: the handler hands the stop to the tasks' home, which stops the run at its worker and queues the task again, as written in its interface.

--- a/lib/Daemon/EntryDaemon.cc
+++ b/lib/Daemon/EntryDaemon.cc
@@ -178,6 +178,13 @@
                   ComponentKind::kTaskHome, [id, answer](Component* component) {
                     static_cast<TaskHome*>(component)->OnFinished(id, answer);
                   });
+            },
+        .on_stop =
+            [this](const std::string& id) {
+              services_.directory.Run(
+                  ComponentKind::kTaskHome, [id](Component* component) {
+                    static_cast<TaskHome*>(component)->StopRun(id);
+                  });
             }};
   }
 
--- a/test/bad_input_test.py
+++ b/test/bad_input_test.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import shutil
 import socket
 import unittest
 
@@ -249,5 +250,43 @@
     test_refusals = None
 
 
+class TaskLimitTest(TaskTest):
+    """Tasks that may run again stop when their team's limit is lowered."""
+
+    def test_a_lowered_limit_stops_tasks_and_no_entry(self):
+        tasks = [self.submit(60000) for _ in range(6)]
+        for task in tasks:
+            self.wait_state(task, "running")
+        lowered = self.deployment.path("lowered")
+        shutil.copytree(self.deployment.intent_dir, lowered)
+        teams = self.deployment.teams()
+        teams["accounts"]["limit"] = 2
+        self.deployment.write("lowered/teams.json", teams)
+        self.deployment.ctl("publish", lowered)
+        support.cluster.wait_until(
+            lambda: sum(
+                not run["finished"]
+                for record in self.deployment.worker_records()
+                for run in record["runs"]
+            ) <= 2,
+            "the lowered limit",
+        )
+        for name, process in self.deployment.entries.items():
+            self.assertIsNone(process.child.poll(), f"{name} has ended")
+        # The rest waits and is cancelled without a run.
+        for task in tasks:
+            self.assertEqual(
+                self.call(f"/v1/tasks/{task}", "DELETE")[0], 200
+            )
+        for task in tasks:
+            self.wait_state(task, "ended")
+
+    # The deployment keeps its lowered limit.
+    test_runs_to_its_end = None
+    test_same_key_is_the_same_task = None
+    test_cancelled_while_running = None
+    test_refusals = None
+
+
 if __name__ == "__main__":
     unittest.main()
