--- a/include/basilusher/Control/TaskHome.h
+++ b/include/basilusher/Control/TaskHome.h
@@ -113,6 +113,10 @@
   struct Bucket {
     std::unique_ptr<Journal> journal;
     std::map<std::string, Task> tasks;
+    /// Started tasks whose present run this entry holds, by the records read.
+    std::set<std::string> held;
+    /// Whether the journal has been read since this entry became the home.
+    bool read_as_home = false;
   };
   struct ActiveRun {
     std::string task_id;
@@ -127,10 +131,14 @@
   Task* Find(const std::string& task_id);
   void Apply(Bucket* bucket, const Json& record);
   void OnAsk(const PeerId& from, const TaskAsk& ask);
+  void AnswerAsk(const PeerId& from, const TaskAsk& ask);
   void Accept(const PeerId& from, const TaskAsk& ask);
   void Cancel(const PeerId& from, const TaskAsk& ask);
   void SendAnswer(const PeerId& to, const TaskAsk& ask, ResultCode code);
   void TickBucket(int number, Bucket* bucket);
+  /// Settles runs of this entry that nothing watches any more, such as those
+  /// whose settling call was not answered or whose end was not stored.
+  void SettleAbandoned(Bucket* bucket);
   void TickTask(Bucket* bucket, Task* task);
   void TickRun(const std::string& request_id, ActiveRun* run);
   void OnRenewed(const std::string& request_id, const TaskRunReport& report);
--- a/lib/Control/TaskHome.cc
+++ b/lib/Control/TaskHome.cc
@@ -108,10 +108,12 @@
   const int run = record.at("run").get<int>();
   if (run < task.run) return;
   task.run = run;
+  bucket->held.erase(id);
   if (kind == kStartRecord) {
     task.phase = Phase::kStarted;
     task.worker = record.at("worker").get<std::string>();
     task.holder = record.at("holder").get<std::string>();
+    if (task.holder == ToString(context_.Self())) bucket->held.insert(id);
   } else if (kind == kQueueRecord) {
     task.phase = Phase::kQueued;
     task.submitted = false;
@@ -139,11 +141,22 @@
     bucket->journal->Load();
     if (!bucket->journal->Loaded()) return;
   }
-  const Task* task = Find(ask.task_id);
   if (ask.operation == TaskOperation::kSubmit) {
     Accept(from, ask);
     return;
   }
+  const bool is_home = IsHome(TaskBucketOf(ask.task_id));
+  if (is_home && bucket->read_as_home && Find(ask.task_id) != nullptr) {
+    AnswerAsk(from, ask);
+    return;
+  }
+  // Another home may have accepted or ended the task since this entry read the
+  // journal.
+  bucket->journal->ReadUpToNow([this, from, ask] { AnswerAsk(from, ask); });
+}
+
+void TaskHome::AnswerAsk(const PeerId& from, const TaskAsk& ask) {
+  const Task* task = Find(ask.task_id);
   if (task == nullptr || task->team != ask.team) {
     SendAnswer(from, ask, ResultCode::kUnknownTask);
     return;
@@ -187,12 +200,16 @@
   const Json record = {{"kind", kCancelRecord}, {"task", ask.task_id}};
   BucketFor(ask.task_id)
       ->journal->Append(
-          record, [this, id = ask.task_id] { return Find(id) != nullptr; },
+          record,
+          [this, id = ask.task_id] { return Find(id)->phase != Phase::kEnded; },
           [this, from, ask](AppendResult result) {
-            SendAnswer(from, ask,
-                       result == AppendResult::kCommitted
-                           ? ResultCode::kOk
-                           : ResultCode::kClaimUnavailable);
+            ResultCode code = ResultCode::kClaimUnavailable;
+            if (result == AppendResult::kCommitted) code = ResultCode::kOk;
+            if (result == AppendResult::kRejected) {
+              // Its end was read meanwhile.
+              code = ResultCode::kTaskEnded;
+            }
+            SendAnswer(from, ask, code);
           });
 }
 
@@ -229,10 +246,17 @@
           context_, JournalOptions{.prefix = TaskSubject(number) + "/"},
           [this, bucket](const Json& record) { Apply(bucket, record); });
     }
-    // Records of other writers matter to the home alone.
-    if (reload && IsHome(number)) bucket->journal->Refresh();
+    // Records of other writers matter to the home, and to the holder of a run:
+    // its home may have moved, and the new home records the cancel.
+    const bool concerned = IsHome(number) || !bucket->held.empty();
+    if (!IsHome(number)) {
+      bucket->read_as_home = false;
+    } else if (!bucket->read_as_home) {
+      bucket->journal->ReadUpToNow([bucket] { bucket->read_as_home = true; });
+    }
+    if (reload && concerned) bucket->journal->Refresh();
     bucket->journal->OnTick();
-    TickBucket(number, bucket);
+    if (concerned) TickBucket(number, bucket);
   }
   std::vector<std::string> ids;
   for (const std::pair<const std::string, ActiveRun>& row : runs_) {
@@ -245,11 +269,12 @@
 }
 
 void TaskHome::TickBucket(int number, Bucket* bucket) {
-  if (!IsHome(number)) return;
   if (!bucket->journal->Loaded()) {
     bucket->journal->Load();
     return;
   }
+  SettleAbandoned(bucket);
+  if (!IsHome(number)) return;
   std::vector<Task*> open;
   for (std::pair<const std::string, Task>& row : bucket->tasks) {
     if (row.second.phase != Phase::kEnded) open.push_back(&row.second);
@@ -257,18 +282,31 @@
   for (Task* task : open) TickTask(bucket, task);
 }
 
+void TaskHome::SettleAbandoned(Bucket* bucket) {
+  const std::vector<std::string> held(bucket->held.begin(), bucket->held.end());
+  for (const std::string& id : held) {
+    Task* task = &bucket->tasks.at(id);
+    // The front door is not done with it yet.
+    if (task->submitted) continue;
+    if (!runs_.contains(TaskRequestId(id, task->run))) Settle(bucket, task);
+  }
+}
+
 void TaskHome::TickTask(Bucket* bucket, Task* task) {
   const TimePoint now = context_.clock->Now();
   if (task->phase == Phase::kStarted) {
     if (!IsAlive(task->holder)) Settle(bucket, task);
     return;
   }
-  if (task->submitted || task->settling || now < task->resume_at) return;
+  if (task->settling) return;
   if (task->cancelled) {
+    // No start is recorded after a cancel, so a run that the front door still
+    // holds back is refused when its turn comes.
     RecordEnd(task, {.outcome = static_cast<int>(Outcome::kNotRun),
                      .code = static_cast<int>(ResultCode::kCancelled)});
     return;
   }
+  if (task->submitted || now < task->resume_at) return;
   task->submitted = true;
   port_->Submit({.request_id = TaskRequestId(task->id, task->run + 1),
                  .queue = task->queue,
@@ -408,6 +446,8 @@
     return;
   }
   if (TaskRequestId(task_id, task->run) != request_id) return;
+  // Another entry started this run; it settles the task.
+  if (task->holder != ToString(context_.Self())) return;
   if (answer.outcome == Outcome::kRan) {
     RecordEnd(task, {.outcome = static_cast<int>(Outcome::kRan),
                      .code = static_cast<int>(answer.code),
