A stopping node answers every caller before it ends

Cause: a submission whose try has no answer is tried until its caller's deadline, up to 3 s. A request may be read until 0.6 of the grace has passed and later on a connection that is open; at 0.9 of the grace the node ended, whoever still waited. Calls to the store (0.8 s each, several for a cancellation) also go on past the caller's deadline.

--- a/include/basilusher/Node/JobFront.h
+++ b/include/basilusher/Node/JobFront.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -66,11 +67,23 @@
   void Pending(const std::string& queue,
                std::function<void(std::optional<int>)> done);
 
+  /// For a planned stop: callers that still wait at `limit`, and those that ask
+  /// later, are told at once what is known then. A submission that may be
+  /// stored is unknown; one that was not sent is refused and never stored.
+  void AnswerBy(TimePoint limit);
+
   /// Answers peers' calls of the same purpose.
   void Serve(PeerMethods* methods);
 
  private:
   struct Submission;
+  /// Enters a caller among those that wait until `done` is run; AnswerBy runs
+  /// it with what `at_limit` returns.
+  template <typename Answer>
+  std::function<void(Answer)> Track(std::function<void(Answer)> done,
+                                    std::function<Answer()> at_limit);
+  void AnswerAll();
+  void LogNotAccepted(const Submission& submission, SubmitResult result);
   void Advance(const std::shared_ptr<Submission>& submission);
   void AdvanceLater(const std::shared_ptr<Submission>& submission);
   void SubmitToStore(const std::shared_ptr<Submission>& submission);
@@ -93,6 +106,11 @@
   std::shared_ptr<NodeAgent> agent_;
   std::shared_ptr<CatalogKeeper> catalogs_;
   std::size_t peers_taken_ = 0;
+  /// Answers for callers that wait, by the caller's number.
+  std::map<std::uint64_t, std::function<void()>> waiting_;
+  std::uint64_t callers_ = 0;
+  /// The limit of AnswerBy has passed.
+  bool closed_ = false;
 };
 
 }  // namespace basilusher
--- a/lib/Node/JobFront.cc
+++ b/lib/Node/JobFront.cc
@@ -44,6 +44,10 @@
   std::function<void(SubmitResult)> done;
   /// A try may still take effect at the store.
   bool open_try = false;
+  /// A try has been sent and its outcome has not come yet.
+  bool try_pending = false;
+  /// Answered at the limit of a planned stop; nothing more is tried.
+  bool given_up = false;
   int refusals = 0;
   /// False for what a peer has handed on already.
   bool may_use_peers = true;
@@ -69,6 +73,22 @@
   return peers.empty() ? std::string() : peers[peers_taken_++ % peers.size()];
 }
 
+template <typename Answer>
+std::function<void(Answer)> JobFront::Track(std::function<void(Answer)> done,
+                                            std::function<Answer()> at_limit) {
+  const std::uint64_t caller = ++callers_;
+  std::function<void(Answer)> answer_once =
+      [weak = weak_from_this(), caller, done = std::move(done)](Answer answer) {
+        const std::shared_ptr<JobFront> self = weak.lock();
+        if (self == nullptr || self->waiting_.erase(caller) == 0) return;
+        done(std::move(answer));
+      };
+  waiting_[caller] = [answer_once, at_limit = std::move(at_limit)] {
+    answer_once(at_limit());
+  };
+  return answer_once;
+}
+
 void JobFront::Submit(const JobSpec& job, TimePoint deadline,
                       std::function<void(SubmitResult)> done) {
   const std::shared_ptr<Submission> submission = std::make_shared<Submission>();
@@ -78,21 +98,48 @@
   submission->offered_term = offered.offered_term;
   submission->record = EncodeJobSpec(offered);
   submission->deadline = deadline;
-  submission->done = std::move(done);
+  if (closed_) {
+    submission->done = std::move(done);
+    return Finish(submission, SubmitResult::kRefused);
+  }
+  submission->done = Track<SubmitResult>(std::move(done), [this, submission] {
+    submission->given_up = true;
+    const SubmitResult result = submission->open_try || submission->try_pending
+                                    ? SubmitResult::kUnknown
+                                    : SubmitResult::kRefused;
+    LogNotAccepted(*submission, result);
+    return result;
+  });
   Advance(submission);
 }
 
+void JobFront::AnswerBy(TimePoint limit) {
+  ports_.timers->After(limit - ports_.clock->Now(),
+                       [self = shared_from_this()] { self->AnswerAll(); });
+}
+
+void JobFront::AnswerAll() {
+  closed_ = true;
+  // Each answer takes its own entry out.
+  const std::map<std::uint64_t, std::function<void()>> waiting = waiting_;
+  for (const auto& [caller, answer] : waiting) answer();
+}
+
+void JobFront::LogNotAccepted(const Submission& submission,
+                              SubmitResult result) {
+  LogEvent(LogLevel::kWarning, "submission-not-accepted",
+           {{"job", submission.id},
+            {"result", NameOf(kSubmitResultNames, result)},
+            {"store", NameOf(kStoreReachNames, catalogs_->Reach())},
+            {"refusals", submission.refusals},
+            {"stopping", submission.given_up || closed_},
+            {"left_ms", (submission.deadline - ports_.clock->Now()).count()}});
+}
+
 void JobFront::Finish(const std::shared_ptr<Submission>& submission,
                       SubmitResult result) {
-  if (result != SubmitResult::kAccepted) {
-    LogEvent(
-        LogLevel::kWarning, "submission-not-accepted",
-        {{"job", submission->id},
-         {"result", NameOf(kSubmitResultNames, result)},
-         {"store", NameOf(kStoreReachNames, catalogs_->Reach())},
-         {"refusals", submission->refusals},
-         {"left_ms", (submission->deadline - ports_.clock->Now()).count()}});
-  }
+  if (submission->given_up) return;
+  if (result != SubmitResult::kAccepted) LogNotAccepted(*submission, result);
   submission->done(result);
 }
 
@@ -103,6 +150,7 @@
 }
 
 void JobFront::Advance(const std::shared_ptr<Submission>& submission) {
+  if (submission->given_up) return;
   if (ports_.clock->Now() >= submission->deadline) {
     return Finish(submission, submission->open_try ? SubmitResult::kUnknown
                                                    : SubmitResult::kRefused);
@@ -130,8 +178,10 @@
   txn.conditions.push_back({keys_.final_prefix + submission->id, 0});
   txn.writes.push_back(
       {.key = keys_.job_prefix + submission->id, .value = submission->record});
+  submission->try_pending = true;
   ports_.store->Commit(
       txn, [self = shared_from_this(), submission](const StoreAnswer& answer) {
+        submission->try_pending = false;
         switch (answer.status) {
           case TxnStatus::kOk:
             self->Offer(*submission, answer.revision);
@@ -183,6 +233,7 @@
                                  const std::string& peer) {
   const Millis timeout =
       std::min(submission->deadline - ports_.clock->Now(), kPeerTimeout);
+  submission->try_pending = true;
   ports_.peers->Call(
       peer, PeerPaths::kSubmit,
       {{"job", submission->id},
@@ -191,6 +242,7 @@
        {"timeout_ms", timeout.count()}},
       timeout,
       [self = shared_from_this(), submission](std::optional<Json> answer) {
+        submission->try_pending = false;
         const std::optional<SubmitResult> result =
             answer ? ValueOf(kSubmitResultNames,
                              answer->value("result", std::string()))
@@ -213,6 +265,10 @@
 
 void JobFront::Find(const std::string& job, TimePoint deadline,
                     std::function<void(FindAnswer)> done) {
+  if (closed_) return done({.result = FindResult::kUnavailable});
+  done = Track<FindAnswer>(std::move(done), [] {
+    return FindAnswer{.result = FindResult::kUnavailable};
+  });
   PartitionOwner* owner = agent_->LocalOwner();
   if (owner != nullptr) {
     const std::optional<ShownJob> shown = owner->Find(job);
@@ -295,6 +351,9 @@
 
 void JobFront::Cancel(const std::string& job, TimePoint deadline,
                       std::function<void(CancelResult)> done) {
+  if (closed_) return done(CancelResult::kUnavailable);
+  done = Track<CancelResult>(std::move(done),
+                             [] { return CancelResult::kUnavailable; });
   const std::string peer = catalogs_->StoreFresh() ? "" : NextPeer();
   if (peer.empty()) {
     CancelInStore(job, deadline, std::move(done));
@@ -352,6 +411,9 @@
 
 void JobFront::Pending(const std::string& queue,
                        std::function<void(std::optional<int>)> done) {
+  if (closed_) return done(std::nullopt);
+  done = Track<std::optional<int>>(std::move(done),
+                                   [] { return std::optional<int>(); });
   PartitionOwner* owner = agent_->LocalOwner();
   if (owner != nullptr) return done(owner->Pending(queue));
   const OwnerView* remote = agent_->RemoteOwner();
--- a/unittests/Node/JobFrontTest.cc
+++ b/unittests/Node/JobFrontTest.cc
@@ -1,6 +1,9 @@
 // Submissions while the store does not answer this node, or any node.
 #include <gtest/gtest.h>
 
+#include <optional>
+#include <vector>
+
 #include "SimNode.h"
 
 namespace basilusher {
@@ -8,6 +11,7 @@
 
 constexpr Millis kDeadline{2850};
 constexpr char kJob[] = "00000000000000a1";
+constexpr char kLateJob[] = "00000000000000a2";
 
 class JobFrontTest : public ::testing::Test {
  protected:
@@ -83,5 +87,68 @@
   EXPECT_TRUE(sim.fleet.Broken().empty());
 }
 
+TEST_F(JobFrontTest,
+       AStoppingNodeLeavesNoCallerUnansweredWhileTheStoreIsSilent) {
+  constexpr Millis kLimit{500};
+  for (SimNode* node : {&a, &b, &c}) node->store.silent = true;
+  const auto told = a.Submit(FleetSim::MakeJob(kJob, 2, 500), kDeadline);
+  std::vector<FindResult> found;
+  std::vector<CancelResult> cancelled;
+  std::vector<std::optional<int>> pending;
+  const TimePoint deadline = sim.timers.Now() + kDeadline;
+  a.front->Find(kJob, deadline,
+                [&](const FindAnswer& it) { found.push_back(it.result); });
+  a.front->Cancel(kJob, deadline,
+                  [&](CancelResult it) { cancelled.push_back(it); });
+  a.front->AnswerBy(sim.timers.Now() + kLimit);
+  sim.Run(kLimit);
+  // The submission was sent and may be stored.
+  EXPECT_EQ(*told, SubmitResult::kUnknown);
+  EXPECT_EQ(found, std::vector{FindResult::kUnavailable});
+  EXPECT_EQ(cancelled, std::vector{CancelResult::kUnavailable});
+  // Whoever asks later is told at once.
+  const std::int64_t commits = a.store.commits;
+  const auto late = a.Submit(FleetSim::MakeJob(kLateJob, 2, 500), kDeadline);
+  a.front->Find(kJob, deadline,
+                [&](const FindAnswer& it) { found.push_back(it.result); });
+  a.front->Cancel(kJob, deadline,
+                  [&](CancelResult it) { cancelled.push_back(it); });
+  a.front->Pending("in", [&](std::optional<int> it) { pending.push_back(it); });
+  EXPECT_EQ(*late, SubmitResult::kRefused);
+  EXPECT_EQ(found.size(), 2U);
+  EXPECT_EQ(cancelled.size(), 2U);
+  EXPECT_EQ(pending, std::vector{std::optional<int>()});
+  // The store's return changes no answer, and what was refused stays out.
+  for (SimNode* node : {&a, &b, &c}) node->store.silent = false;
+  sim.Run(Millis(4000));
+  EXPECT_EQ(a.store.commits, commits);
+  EXPECT_FALSE(sim.store.Has(std::string("b/in/job/") + kLateJob));
+  EXPECT_EQ(*told, SubmitResult::kUnknown);
+  EXPECT_EQ(found.size(), 2U);
+  EXPECT_EQ(cancelled.size(), 2U);
+}
+
+TEST_F(JobFrontTest, AStoppingNodeRefusesWhatItHasNotSentAndNeverSendsIt) {
+  for (SimNode* node : {&a, &b, &c}) node->store.silent = true;
+  // It has just lost the store and sends nothing until the peers have answered.
+  while (a.catalogs->Reach() == StoreReach::kDirect) sim.Run(Millis(10));
+  ASSERT_EQ(a.catalogs->Reach(), StoreReach::kUnknown);
+  const auto told = a.Submit(FleetSim::MakeJob(kJob, 2, 500), kDeadline);
+  a.front->AnswerBy(sim.timers.Now() + Millis(10));
+  sim.Run(Millis(10));
+  EXPECT_EQ(*told, SubmitResult::kRefused);
+  for (SimNode* node : {&a, &b, &c}) node->store.silent = false;
+  sim.Run(Millis(4000));
+  EXPECT_FALSE(Stored());
+}
+
+TEST_F(JobFrontTest, AStoppingNodeStillGivesAnswersThatComeInTime) {
+  const auto told = a.Submit(FleetSim::MakeJob(kJob, 2, 500), kDeadline);
+  a.front->AnswerBy(sim.timers.Now() + Millis(500));
+  sim.Run(Millis(600));
+  EXPECT_EQ(*told, SubmitResult::kAccepted);
+  EXPECT_TRUE(Stored());
+}
+
 }  // namespace
 }  // namespace basilusher
