A lease that a silent store did not end is tried again until the stop is over

Callers saw: no task started for 1.7 s after the store was back, if the owner had been stopped during the outage: its process still ran and answered, but its lease and with it the owner's record stood until the lease ran out.

Cause: NodeAgent::FinishStop asked the store once to end the lease. A call that is not answered (0.8 s) was logged as `lease-not-ended` and not made again, while the process lives 3.6 s at least. A store that stops the leases' time in an outage then counts their rest after it, and nobody stands for election.

Change: while the process lives the call is made again 0.1 s after a failure, until the store says that the lease has ended; `lease-ended` is logged then. The stop itself still does not wait for a store that fails.

Test: NodeAgentTest.ALeaseThatASilentStoreDidNotEndIsEndedWhenItAnswersAgain before FAILED (leases_ended 0, expected 1), after OK; NodeTests 14 of 14.

--- a/include/basilusher/Node/NodeAgent.h
+++ b/include/basilusher/Node/NodeAgent.h
@@ -45,7 +45,8 @@
 
   void Begin();
   /// Gives up the term, if held, once its records are stored; then ends the
-  /// lease and runs `done`.
+  /// lease and runs `done`, also if the store does not answer. The lease is
+  /// tried until it has ended.
   void Stop(std::function<void()> done);
   /// Takes effect with the next term that this node holds.
   void SetBounds(Millis task_lease, Millis final_retention,
@@ -78,6 +79,7 @@
   void Depose(const char* reason);
   void AskEarlierOwner(const OwnerView& earlier);
   void FinishStop();
+  void EndLease(std::int64_t lease);
 
   OwnerPorts ports_;
   PeerCaller* peer_client_;
--- a/lib/Node/NodeAgent.cc
+++ b/lib/Node/NodeAgent.cc
@@ -2,6 +2,7 @@
 #include "basilusher/Node/NodeAgent.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "basilusher/Support/Json.h"
 #include "basilusher/Support/Log.h"
@@ -333,14 +334,35 @@
   if (lease_ == 0) return on_stopped_();
   const std::int64_t lease = lease_;
   lease_ = 0;
-  ports_.store->EndLease(
-      lease, [self = shared_from_this()](const StoreAnswer& answer) {
-        if (answer.status != TxnStatus::kOk) {
-          LogEvent(LogLevel::kWarning, "lease-not-ended",
-                   {{"status", NameOf(kTxnStatusNames, answer.status)}});
-        }
-        self->on_stopped_();
-      });
+  EndLease(lease);
+}
+
+void NodeAgent::EndLease(std::int64_t lease) {
+  ports_.store->EndLease(lease, [self = shared_from_this(),
+                                 lease](const StoreAnswer& answer) {
+    const bool ended = answer.status == TxnStatus::kOk ||
+                       answer.status == TxnStatus::kNotFound;
+    // The process does not wait for a store that fails, but while it lives
+    // it tries again: a lease may be longer than the outage, and nobody is
+    // elected until it has ended.
+    if (!ended) {
+      self->ports_.timers->After(kRenewRetry,
+                                 [self, lease] { self->EndLease(lease); });
+    }
+    if (self->on_stopped_ == nullptr) {
+      if (ended) {
+        LogEvent(LogLevel::kInfo, "lease-ended",
+                 {{"after_ms",
+                   (self->ports_.clock->Now() - self->stop_began_).count()}});
+      }
+      return;
+    }
+    if (!ended) {
+      LogEvent(LogLevel::kWarning, "lease-not-ended",
+               {{"status", NameOf(kTxnStatusNames, answer.status)}});
+    }
+    std::exchange(self->on_stopped_, nullptr)();
+  });
 }
 
 }  // namespace basilusher
--- a/unittests/Node/NodeAgentTest.cc
+++ b/unittests/Node/NodeAgentTest.cc
@@ -34,5 +34,24 @@
   ASSERT_NE(a.agent->LocalOwner(), nullptr);
 }
 
+TEST(NodeAgentTest, ALeaseThatASilentStoreDidNotEndIsEndedWhenItAnswersAgain) {
+  FleetSim sim;
+  SimPeers peers(&sim.timers);
+  SimNode a(&sim, &peers, "a");
+  sim.Run(Millis(2000));
+  ASSERT_NE(a.agent->LocalOwner(), nullptr);
+  a.store.silent = true;
+  int stopped = 0;
+  a.agent->Stop([&stopped] { ++stopped; });
+  sim.Run(Millis(2500));
+  // The stop does not wait for the store.
+  EXPECT_EQ(stopped, 1);
+  EXPECT_EQ(sim.store.leases_ended, 0);
+  a.store.silent = false;
+  sim.Run(Millis(1000));
+  EXPECT_EQ(sim.store.leases_ended, 1);
+  EXPECT_EQ(stopped, 1);
+}
+
 }  // namespace
 }  // namespace basilusher
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -77,6 +77,7 @@
 
   SimFault fault = SimFault::kNone;
   std::int64_t commits = 0;
+  int leases_ended = 0;
 
  private:
   bool Fails(const StoreAnswerCallback& done, bool write);
--- a/unittests/Partition/SimStore.cc
+++ b/unittests/Partition/SimStore.cc
@@ -146,6 +146,7 @@
   Answer(done, {.status = TxnStatus::kOk});
 }
 void SimStore::EndLease(std::int64_t, StoreAnswerCallback done) {
+  ++leases_ended;
   Answer(done, {.status = TxnStatus::kOk});
 }
 
