A node that is frozen in its stop answers before it ends

Callers saw: a connection closed without an answer, if the node was suspended between SIGTERM and nine tenths of its grace and woke after that: the poll that ends the process ran before the timer that answers who waits.

Change: the poll itself gives the answers (JobFront::AnswerAll) and ends the process at the next round at the soonest, so the order doesn't hang on two timers. AnswerBy and its timer go.

JobFrontTest.AStopping... call AnswerAll after the same times as before.

--- a/include/basilusher/Node/JobFront.h
+++ b/include/basilusher/Node/JobFront.h
@@ -67,22 +67,21 @@
   void Pending(const std::string& queue,
                std::function<void(std::optional<int>)> done);
 
-  /// For a planned stop: callers that still wait at `limit`, and those that ask
-  /// later, are told at once what is known then. A submission that may be
-  /// stored is unknown; one that was not sent is refused and never stored.
-  void AnswerBy(TimePoint limit);
+  /// For a planned stop: callers that wait, and those that ask later, are told
+  /// at once what is known. A submission that may be stored is unknown; one
+  /// that was not sent is refused and never stored. May be called again.
+  void AnswerAll();
 
   /// Answers peers' calls of the same purpose.
   void Serve(PeerMethods* methods);
 
  private:
   struct Submission;
-  /// Enters a caller among those that wait until `done` is run; AnswerBy runs
-  /// it with what `at_limit` returns.
+  /// Enters a caller among those that wait until `done` is run; AnswerAll runs
+  /// it with what `if_given_up` returns.
   template <typename Answer>
   std::function<void(Answer)> Track(std::function<void(Answer)> done,
-                                    std::function<Answer()> at_limit);
-  void AnswerAll();
+                                    std::function<Answer()> if_given_up);
   void LogNotAccepted(const Submission& submission, SubmitResult result);
   void Advance(const std::shared_ptr<Submission>& submission);
   void AdvanceLater(const std::shared_ptr<Submission>& submission);
@@ -109,7 +108,7 @@
   /// Answers for callers that wait, by the caller's number.
   std::map<std::uint64_t, std::function<void()>> waiting_;
   std::uint64_t callers_ = 0;
-  /// The limit of AnswerBy has passed.
+  /// AnswerAll was called.
   bool closed_ = false;
 };
 
--- a/lib/Node/JobFront.cc
+++ b/lib/Node/JobFront.cc
@@ -46,7 +46,7 @@
   bool open_try = false;
   /// A try has been sent and its outcome has not come yet.
   bool try_pending = false;
-  /// Answered at the limit of a planned stop; nothing more is tried.
+  /// Answered because the node stops; nothing more is tried.
   bool given_up = false;
   int refusals = 0;
   /// False for what a peer has handed on already.
@@ -74,8 +74,8 @@
 }
 
 template <typename Answer>
-std::function<void(Answer)> JobFront::Track(std::function<void(Answer)> done,
-                                            std::function<Answer()> at_limit) {
+std::function<void(Answer)> JobFront::Track(
+    std::function<void(Answer)> done, std::function<Answer()> if_given_up) {
   const std::uint64_t caller = ++callers_;
   std::function<void(Answer)> answer_once =
       [weak = weak_from_this(), caller, done = std::move(done)](Answer answer) {
@@ -83,8 +83,8 @@
         if (self == nullptr || self->waiting_.erase(caller) == 0) return;
         done(std::move(answer));
       };
-  waiting_[caller] = [answer_once, at_limit = std::move(at_limit)] {
-    answer_once(at_limit());
+  waiting_[caller] = [answer_once, if_given_up = std::move(if_given_up)] {
+    answer_once(if_given_up());
   };
   return answer_once;
 }
@@ -113,11 +113,6 @@
   Advance(submission);
 }
 
-void JobFront::AnswerBy(TimePoint limit) {
-  ports_.timers->After(limit - ports_.clock->Now(),
-                       [self = shared_from_this()] { self->AnswerAll(); });
-}
-
 void JobFront::AnswerAll() {
   closed_ = true;
   // Each answer takes its own entry out.
--- a/unittests/Node/JobFrontTest.cc
+++ b/unittests/Node/JobFrontTest.cc
@@ -89,7 +89,6 @@
 
 TEST_F(JobFrontTest,
        AStoppingNodeLeavesNoCallerUnansweredWhileTheStoreIsSilent) {
-  constexpr Millis kLimit{500};
   for (SimNode* node : {&a, &b, &c}) node->store.silent = true;
   const auto told = a.Submit(FleetSim::MakeJob(kJob, 2, 500), kDeadline);
   std::vector<FindResult> found;
@@ -100,8 +99,8 @@
                 [&](const FindAnswer& it) { found.push_back(it.result); });
   a.front->Cancel(kJob, deadline,
                   [&](CancelResult it) { cancelled.push_back(it); });
-  a.front->AnswerBy(sim.timers.Now() + kLimit);
-  sim.Run(kLimit);
+  sim.Run(Millis(500));
+  a.front->AnswerAll();
   // The submission was sent and may be stored.
   EXPECT_EQ(*told, SubmitResult::kUnknown);
   EXPECT_EQ(found, std::vector{FindResult::kUnavailable});
@@ -134,8 +133,8 @@
   while (a.catalogs->Reach() == StoreReach::kDirect) sim.Run(Millis(10));
   ASSERT_EQ(a.catalogs->Reach(), StoreReach::kUnknown);
   const auto told = a.Submit(FleetSim::MakeJob(kJob, 2, 500), kDeadline);
-  a.front->AnswerBy(sim.timers.Now() + Millis(10));
   sim.Run(Millis(10));
+  a.front->AnswerAll();
   EXPECT_EQ(*told, SubmitResult::kRefused);
   for (SimNode* node : {&a, &b, &c}) node->store.silent = false;
   sim.Run(Millis(4000));
@@ -144,8 +143,8 @@
 
 TEST_F(JobFrontTest, AStoppingNodeStillGivesAnswersThatComeInTime) {
   const auto told = a.Submit(FleetSim::MakeJob(kJob, 2, 500), kDeadline);
-  a.front->AnswerBy(sim.timers.Now() + Millis(500));
-  sim.Run(Millis(600));
+  sim.Run(Millis(500));
+  a.front->AnswerAll();
   EXPECT_EQ(*told, SubmitResult::kAccepted);
   EXPECT_TRUE(Stored());
 }
