--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -79,6 +79,7 @@
   /// Commits that write a key under one of these are refused, as beyond a rate.
   std::vector<std::string> refused_prefixes;
   std::int64_t commits = 0;
+  int leases_ended = 0;
 
  private:
   bool Refused(const Txn& txn) const;
