Begin a worker's link above the tokens of its closed ones

Callers saw (fakes): no task starts any more. An owner forgot an idle worker whose entry stayed away and met it again in the same life; its new link began with the first token of the term, the worker had seen a later one and refused it, and the owner took itself for replaced. Cause: the token of a link was lost with the link.

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -232,6 +232,7 @@
   // OwnerWorkers.cc: the directory, lists, ends.
   void OnDirectory(const StoredItem& item);
   WorkerState* AddWorker(const std::string& id, const std::string& address);
+  void CloseLink(WorkerState* worker);
   /// Nothing runs on the worker or has ended there that the store does not
   /// know: a later owner needs not hear of it.
   bool IsSettled(const WorkerState& worker) const;
@@ -383,6 +384,8 @@
   bool loaded_ = false;
   bool dispatch_planned_ = false;
   std::int64_t workers_revision_ = 0;
+  /// Above the tokens of all links that are closed.
+  std::int64_t next_fence_ = 0;
   bool saving_workers_ = false;
   bool workers_changed_ = false;
   bool closed_ = false;
--- a/include/basilusher/Partition/WorkerLink.h
+++ b/include/basilusher/Partition/WorkerLink.h
@@ -83,6 +83,7 @@
   /// Ends that the worker has listed and still keeps.
   std::int64_t UnacknowledgedEnds() const { return last_end_ - acknowledged_; }
   const WorkerAddress& Address() const { return address_; }
+  std::int64_t Fence() const { return fence_; }
 
  private:
   void Look(Millis wait);
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -39,8 +39,9 @@
   slot->link = std::make_shared<WorkerLink>(
       ports_.workers, ports_.timers, ports_.clock,
       WorkerAddress{.id = id, .address = address},
-      WorkerLinkOptions{.first_fence = options_.term * kFencesPerTerm,
-                        .lease = options_.task_lease},
+      WorkerLinkOptions{
+          .first_fence = std::max(options_.term * kFencesPerTerm, next_fence_),
+          .lease = options_.task_lease},
       WorkerLink::Listener{
           .on_lists =
               [this, id](const HoldAnswer& answer, TimePoint sent_at,
@@ -55,6 +56,12 @@
   return slot.get();
 }
 
+void PartitionOwner::CloseLink(WorkerState* worker) {
+  // The worker may come back in the same life, which has seen this token.
+  next_fence_ = std::max(next_fence_, worker->link->Fence() + 1);
+  worker->link->Close();
+}
+
 bool PartitionOwner::IsSettled(const WorkerState& worker) const {
   return worker.tasks.empty() && worker.left.empty() &&
          worker.link->UnacknowledgedEnds() == 0 &&
@@ -67,7 +74,7 @@
     return;
   }
   LogEvent(LogLevel::kInfo, "worker-dropped", {{"worker", id}});
-  worker->link->Close();
+  CloseLink(worker);
   worker->dropped = true;
   // The link may be on the call stack: let it unwind first.
   ports_.timers->After(Millis(0), [self = shared_from_this(), id] {
@@ -113,7 +120,7 @@
   if (worker != nullptr && worker->link->Address().address != entry->address) {
     // The worker has moved; what ran under the old address is another life.
     OnWorkerLost(id, "listed at another address");
-    worker->link->Close();
+    CloseLink(worker);
     workers_.erase(id);
     worker = nullptr;
   }
