Acknowledge ends by the life that listed them

Callers saw (fakes): a task runs again. The ends of each life of a worker are numbered from 1; an end of an earlier life that became durable late acknowledged those of the next life up to its number, which were in memory only.

--- a/include/basilusher/Partition/WorkerLink.h
+++ b/include/basilusher/Partition/WorkerLink.h
@@ -71,7 +71,7 @@
   /// forgotten by the worker once all ends before them are durable too.
   /// Looks wait this long for an end from now on.
   void SetLookWait(Millis wait) { options_.look_wait = wait; }
-  void Acknowledge(std::int64_t number);
+  void Acknowledge(int life, std::int64_t number);
 
   /// The worker's lists have been read in this life and it answers.
   bool Ready() const { return synced_ && !settling_ && !silent_; }
@@ -84,6 +84,8 @@
   std::int64_t UnacknowledgedEnds() const { return last_end_ - acknowledged_; }
   const WorkerAddress& Address() const { return address_; }
   std::int64_t Fence() const { return fence_; }
+  /// Number of the worker's present life under its id.
+  int Life() const { return life_; }
 
  private:
   void Look(Millis wait);
@@ -116,6 +118,7 @@
   std::int64_t look_number_ = 0;
   std::int64_t fence_;
   std::int64_t born_unix_ms_ = 0;
+  int life_ = 0;
   std::int64_t last_end_ = 0;
   std::int64_t acknowledged_ = 0;
   /// Last numbers of answers whose ends are not all durable, and whether they
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -220,11 +220,12 @@
       last = std::max(last, end.number);
     }
     recorder_->Save(std::vector<std::string>(changed.begin(), changed.end()),
-                    [self = shared_from_this(), link = worker->link, id, last,
+                    [self = shared_from_this(), link = worker->link,
+                     life = worker->link->Life(), id, last,
                      listed_at = ports_.clock->Now()] {
                       if (self->closed_) return;
                       self->OnEndsStored(id, last, listed_at);
-                      link->Acknowledge(last);
+                      link->Acknowledge(life, last);
                     });
   }
   ScheduleDispatch();
--- a/lib/Partition/WorkerLink.cc
+++ b/lib/Partition/WorkerLink.cc
@@ -205,6 +205,7 @@
 
 void WorkerLink::BeginLife(std::int64_t born_unix_ms, const char* reason) {
   born_unix_ms_ = born_unix_ms;
+  ++life_;
   ++fence_;
   last_end_ = 0;
   acknowledged_ = 0;
@@ -265,9 +266,11 @@
                  });
 }
 
-void WorkerLink::Acknowledge(std::int64_t number) {
+void WorkerLink::Acknowledge(int life, std::int64_t number) {
+  // Each life numbers its ends anew.
+  if (life != life_) return;
   const auto batch = unstored_.find(number);
-  if (batch == unstored_.end()) return;  // of an earlier life
+  if (batch == unstored_.end()) return;
   batch->second = true;
   while (!unstored_.empty() && unstored_.begin()->second) {
     acknowledged_ = unstored_.begin()->first;
