Count a recorded worker without an entry as unlisted from the start

Callers saw (fakes): inherited tasks wait up to 12 s. Only an entry that went during the term began the time after which a worker is gone; one that was away since before the term stayed unread, recorded and looked at while an instance named it, or once its lease ran out before its ends were stored.

--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -36,6 +36,7 @@
   slot->slot.id = id;
   slot->entry.id = id;
   slot->idle_since = ports_.clock->Now();
+  slot->unlisted_at = ports_.clock->Now();
   slot->link = std::make_shared<WorkerLink>(
       ports_.workers, ports_.timers, ports_.clock,
       WorkerAddress{.id = id, .address = address},
