Wait for a worker that is being read to its last end

Callers saw (fakes): tasks run again. A worker whose list is cut stays unread until the first ends are stored; meanwhile it was taken for gone once its entry had stayed away, or the time of doubt passed, though it answers and this owner renews its lease.

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -273,6 +273,8 @@
   bool WithinCap(const JobRecord& job, const Resources& need) const;
   void StartTask(JobRecord* job, const TaskId& id, WorkerState* worker,
                  std::int64_t run);
+  /// Tasks of the job may run, or have ended, unknown to this owner.
+  bool InDoubt(const JobRecord& job) const;
   bool NeedsAdvice(const JobRecord& job) const;
   void OnStartResult(const TaskId& id, std::int64_t run,
                      const std::string& worker, OrderResult result);
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -169,6 +169,19 @@
   return std::max(task.run, (options_.term - 1) * kRunsPerTerm) + 1;
 }
 
+bool PartitionOwner::InDoubt(const JobRecord& job) const {
+  if (!job.inherited || unread_workers_.empty()) return false;
+  if (ports_.clock->Now() < doubt_until_) return true;
+  // Leases that the earlier owner gave have run out, but not those of workers
+  // that this owner is reading.
+  return std::any_of(unread_workers_.begin(), unread_workers_.end(),
+                     [this](const std::string& id) {
+                       const auto it = workers_.find(id);
+                       return it != workers_.end() &&
+                              it->second->link->Synced();
+                     });
+}
+
 bool PartitionOwner::NeedsAdvice(const JobRecord& job) const {
   const QueueConfig* queue = QueueOf(job);
   return queue != nullptr && queue->advice.needed;
@@ -185,8 +198,7 @@
     if (!task.worker.empty()) ++siblings[task.worker];
   }
   // A task of an earlier owner may run at a worker that was not read yet.
-  const bool doubtful =
-      job->inherited && !unread_workers_.empty() && now < doubt_until_;
+  const bool doubtful = InDoubt(*job);
   PlacementRequest request;
   request.step = &spec;
   request.siblings = [&siblings](const WorkerSlot& worker) {
@@ -230,8 +242,7 @@
   const StepSpec& spec = job->spec.steps[static_cast<std::size_t>(step)];
   StepRecord& record =
       job->occurrences.at(occurrence).steps[static_cast<std::size_t>(step)];
-  const bool doubtful =
-      job->inherited && !unread_workers_.empty() && now < doubt_until_;
+  const bool doubtful = InDoubt(*job);
   std::int64_t run = 0;
   for (const TaskRecord& task : record.tasks) {
     // Members start all together or not at all.
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -93,7 +93,8 @@
     const TimePoint since =
         std::max(worker->unlisted_at, directory_->UnbrokenSince());
     if (directory_->FreshAt() < since + kEntryReturns) continue;
-    if (unread_workers_.erase(id) > 0) {
+    // One that answers is read to its last end.
+    if (!worker->link->Synced() && unread_workers_.erase(id) > 0) {
       LogEvent(LogLevel::kWarning, "worker-gone", {{"worker", id}});
       ScheduleDispatch();
     }
