Read a reborn worker before its tasks start elsewhere

Callers saw (fakes): a task runs twice at a time. A start names its worker by the id, so it may reach a new life under the same id that its owner has not heard of. When the owner heard of it, it gave up all tasks of the worker at once, also those. Change: a new life leaves the worker's tasks in doubt; the first list under a later token tells which run there. A lease of the new life by the clock of the old one may be as long as workers allow, so that a silent one is given up only then.

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -256,6 +256,7 @@
   void FindVanished(WorkerState* worker, const HoldAnswer& answer,
                     TimePoint sent_at, bool settled);
   void OnWorkerLost(const std::string& id, const char* reason);
+  void OnNewLife(const std::string& id, const char* reason);
   void Release(WorkerState* worker, JobRecord* job, const TaskId& id);
   void Reserve(WorkerState* worker, JobRecord* job, const TaskId& id);
   void ReturnToQueue(JobRecord* job, const TaskId& id);
--- a/include/basilusher/Partition/WorkerLink.h
+++ b/include/basilusher/Partition/WorkerLink.h
@@ -21,6 +21,8 @@
   std::int64_t first_fence = 0;
   /// Lease given to what runs on the worker.
   Millis lease{4000};
+  /// Longest lease that a worker takes, on any clock.
+  Millis max_lease{10500};
   /// How long the worker may wait for an end before it answers a look.
   Millis look_wait{1000};
 };
@@ -41,9 +43,12 @@
     /// effect by then or never will.
     std::function<void(const HoldAnswer&, TimePoint sent_at, bool settled)>
         on_lists;
-    /// All that ran there has ended without a trace: another life answers, or
+    /// All that ran there has ended without a trace: another worker answers, or
     /// the leases have run out. The worker is read anew before the next order.
     std::function<void(const char* reason)> on_lost;
+    /// What an earlier life ran has ended. Orders that were sent before now may
+    /// have reached the new life: the next settled lists tell.
+    std::function<void(const char* reason)> on_new_life;
     /// A higher fencing token was used by somebody else.
     std::function<void()> on_fenced;
   };
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -51,6 +51,8 @@
               },
           .on_lost = [this,
                       id](const char* reason) { OnWorkerLost(id, reason); },
+          .on_new_life = [this,
+                          id](const char* reason) { OnNewLife(id, reason); },
           .on_fenced = [this] { listener_.on_deposed(); }});
   // Lists can be matched only once the jobs are known.
   if (loaded_) slot->link->Begin();
@@ -486,4 +488,18 @@
   ScheduleDispatch();
 }
 
+void PartitionOwner::OnNewLife(const std::string& id, const char* reason) {
+  WorkerState* worker = FindWorker(id);
+  if (worker == nullptr) return;
+  Count("workers_lost_total");
+  advice_.ForgetWorker(id);
+  LogEvent(
+      LogLevel::kWarning, "worker-reborn",
+      {{"worker", id}, {"reason", reason}, {"tasks", worker->tasks.size()}});
+  for (const TaskId& task_id : worker->tasks) {
+    TaskRecord* task = jobs_.FindTask(task_id);
+    if (task != nullptr) task->in_doubt = true;
+  }
+}
+
 }  // namespace basilusher
--- a/lib/Partition/WorkerLink.cc
+++ b/lib/Partition/WorkerLink.cc
@@ -212,10 +212,12 @@
   unstored_.clear();
   clock_known_ = false;
   max_lease_worker_ms_ = 0;
-  lease_end_ = TimePoint{};
+  // A start that reached the new life has a lease by the earlier one's clock.
+  lease_end_ = clock_->Now() + options_.max_lease;
+  WatchLease();
   synced_ = false;
   settling_ = false;
-  listener_.on_lost(reason);
+  listener_.on_new_life(reason);
 }
 
 void WorkerLink::BeginSettling() {
