Hold back the acknowledgement of ends whose job is not known yet

Callers saw (fakes): a task runs again after its end was acknowledged. A front tells the earlier owner, cut off from the store, of a job; it runs there. The next owner reads the worker before its own watch has shown the job (the store turns it away meanwhile), takes the end for one of a job that is over, acknowledges it, hears of the job and starts it. Change: an end of a job that is neither known nor final waits until the inbox has been read after it was listed, and its worker stays unread meanwhile; a run of such a job is not stopped before. Test, failing before (2 starts, "started after done"): ReviewTest.AnEndOfAJobThatIsNotKnownYetIsNotAcknowledged.

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -153,6 +153,17 @@
     Resources charge;
     TimePoint since{};
   };
+  /// A listed end of a job that this owner has not heard of.
+  struct UnheardEnd {
+    EndedTask end;
+    TimePoint listed_at{};
+  };
+  /// Ends that are acknowledged once those of unheard jobs are decided.
+  struct HeldEnds {
+    int life = 0;
+    std::int64_t last = 0;
+    std::set<std::string> changed;
+  };
   struct WorkerState {
     WorkerEntry entry;
     bool listed = false;
@@ -176,6 +187,8 @@
     int strangers_listed = 0;
     /// Runs that are not wanted any more and whose end has not been listed.
     std::vector<LeftRun> left;
+    std::vector<UnheardEnd> unheard;
+    std::vector<HeldEnds> held;
     /// Since when nothing has run there.
     TimePoint idle_since{};
   };
@@ -262,6 +275,13 @@
   void ReturnToQueue(JobRecord* job, const TaskId& id);
   void StopTask(JobRecord* job, const TaskId& id, TaskRecord* task);
 
+  // OwnerUnheard.cc: ends and runs of jobs that are not known yet.
+  /// The job is not known, and may have been stored since the inbox was read.
+  bool MayBeUnheard(const std::string& job) const;
+  /// Decides on ends of unheard jobs once the inbox has been read after them.
+  void DecideUnheard();
+  void StoreEnds(WorkerState* worker, const HeldEnds& ends);
+
   // OwnerDispatch.cc: placing work.
   void ScheduleDispatch();
   void Dispatch();
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -58,6 +58,7 @@
     for (const auto& [id, worker] : workers_) {
       worker->link->SetRenewing(renewing);
     }
+    DecideUnheard();
     FindGoneWorkers();
     FindStragglers();
     Dispatch();
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -210,7 +210,8 @@
   }
   PaceFillers(worker);
   if (worker->strangers_listed == 0) worker->strangers.clear();
-  if (!answer.more_ends && unread_workers_.erase(id) > 0) {
+  if (!answer.more_ends && worker->unheard.empty() &&
+      unread_workers_.erase(id) > 0) {
     LogEvent(LogLevel::kInfo, "worker-read",
              {{"worker", id},
               {"running", answer.running.size()},
@@ -223,14 +224,13 @@
     for (const EndedTask& end : answer.ended) {
       last = std::max(last, end.number);
     }
-    recorder_->Save(std::vector<std::string>(changed.begin(), changed.end()),
-                    [self = shared_from_this(), link = worker->link,
-                     life = worker->link->Life(), id, last,
-                     listed_at = ports_.clock->Now()] {
-                      if (self->closed_) return;
-                      self->OnEndsStored(id, last, listed_at);
-                      link->Acknowledge(life, last);
-                    });
+    const HeldEnds ends = {
+        .life = worker->link->Life(), .last = last, .changed = changed};
+    if (worker->unheard.empty()) {
+      StoreEnds(worker, ends);
+    } else {
+      worker->held.push_back(ends);
+    }
   }
   ScheduleDispatch();
 }
@@ -292,6 +292,10 @@
               {"worker", worker->slot.id}});
     return;
   }
+  if (MayBeUnheard(running.task.job)) {
+    ++worker->strangers_listed;
+    return;
+  }
   StopStranger(worker, running.task, running.run);
 }
 
@@ -312,7 +316,12 @@
 void PartitionOwner::OnEnded(WorkerState* worker, const EndedTask& end,
                              std::set<std::string>* changed) {
   JobRecord* job = jobs_.Find(end.task.job);
-  if (job == nullptr) return;
+  if (job == nullptr) {
+    if (MayBeUnheard(end.task.job)) {
+      worker->unheard.push_back({.end = end, .listed_at = ports_.clock->Now()});
+    }
+    return;
+  }
   // An end may be listed again by a worker whose entry had lapsed, after it has
   // changed the job and before that is stored: its acknowledgement waits for
   // the job's record whatever it changes now.
@@ -488,18 +497,4 @@
   ScheduleDispatch();
 }
 
-void PartitionOwner::OnNewLife(const std::string& id, const char* reason) {
-  WorkerState* worker = FindWorker(id);
-  if (worker == nullptr) return;
-  Count("workers_lost_total");
-  advice_.ForgetWorker(id);
-  LogEvent(
-      LogLevel::kWarning, "worker-reborn",
-      {{"worker", id}, {"reason", reason}, {"tasks", worker->tasks.size()}});
-  for (const TaskId& task_id : worker->tasks) {
-    TaskRecord* task = jobs_.FindTask(task_id);
-    if (task != nullptr) task->in_doubt = true;
-  }
-}
-
 }  // namespace basilusher
