--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -153,6 +153,17 @@
     Resources charge;
     TimePoint since{};
   };
+  /// A listed end of a job that this owner has not heard of.
+  struct UnheardEnd {
+    EndedTask end;
+    TimePoint listed_at{};
+  };
+  /// Ends that are acknowledged once those of unheard jobs are decided.
+  struct HeldEnds {
+    int life = 0;
+    std::int64_t last = 0;
+    std::set<std::string> changed;
+  };
   struct WorkerState {
     WorkerEntry entry;
     bool listed = false;
@@ -176,6 +187,8 @@
     int strangers_listed = 0;
     /// Runs that are not wanted any more and whose end has not been listed.
     std::vector<LeftRun> left;
+    std::vector<UnheardEnd> unheard;
+    std::vector<HeldEnds> held;
     /// Since when nothing has run there.
     TimePoint idle_since{};
   };
@@ -232,6 +245,7 @@
   // OwnerWorkers.cc: the directory, lists, ends.
   void OnDirectory(const StoredItem& item);
   WorkerState* AddWorker(const std::string& id, const std::string& address);
+  void CloseLink(WorkerState* worker);
   /// Nothing runs on the worker or has ended there that the store does not
   /// know: a later owner needs not hear of it.
   bool IsSettled(const WorkerState& worker) const;
@@ -255,11 +269,19 @@
   void FindVanished(WorkerState* worker, const HoldAnswer& answer,
                     TimePoint sent_at, bool settled);
   void OnWorkerLost(const std::string& id, const char* reason);
+  void OnNewLife(const std::string& id, const char* reason);
   void Release(WorkerState* worker, JobRecord* job, const TaskId& id);
   void Reserve(WorkerState* worker, JobRecord* job, const TaskId& id);
   void ReturnToQueue(JobRecord* job, const TaskId& id);
   void StopTask(JobRecord* job, const TaskId& id, TaskRecord* task);
 
+  // OwnerUnheard.cc: ends and runs of jobs that are not known yet.
+  /// The job is not known, and may have been stored since the inbox was read.
+  bool MayBeUnheard(const std::string& job) const;
+  /// Decides on ends of unheard jobs once the inbox has been read after them.
+  void DecideUnheard();
+  void StoreEnds(WorkerState* worker, const HeldEnds& ends);
+
   // OwnerDispatch.cc: placing work.
   void ScheduleDispatch();
   void Dispatch();
@@ -272,6 +294,8 @@
   bool WithinCap(const JobRecord& job, const Resources& need) const;
   void StartTask(JobRecord* job, const TaskId& id, WorkerState* worker,
                  std::int64_t run);
+  /// Tasks of the job may run, or have ended, unknown to this owner.
+  bool InDoubt(const JobRecord& job) const;
   bool NeedsAdvice(const JobRecord& job) const;
   void OnStartResult(const TaskId& id, std::int64_t run,
                      const std::string& worker, OrderResult result);
@@ -385,6 +409,8 @@
   bool loaded_ = false;
   bool dispatch_planned_ = false;
   std::int64_t workers_revision_ = 0;
+  /// Above the tokens of all links that are closed.
+  std::int64_t next_fence_ = 0;
   bool saving_workers_ = false;
   bool workers_changed_ = false;
   bool closed_ = false;
--- a/include/basilusher/Partition/WorkerLink.h
+++ b/include/basilusher/Partition/WorkerLink.h
@@ -21,6 +21,8 @@
   std::int64_t first_fence = 0;
   /// Lease given to what runs on the worker.
   Millis lease{4000};
+  /// Longest lease that a worker takes, on any clock.
+  Millis max_lease{10500};
   /// How long the worker may wait for an end before it answers a look.
   Millis look_wait{1000};
 };
@@ -41,11 +43,12 @@
     /// effect by then or never will.
     std::function<void(const HoldAnswer&, TimePoint sent_at, bool settled)>
         on_lists;
-    /// All that ran there has ended without a trace: another life answers, or
+    /// All that ran there has ended without a trace: another worker answers, or
     /// the leases have run out. The worker is read anew before the next order.
-    /// If it is another life of a worker that was read, its lists follow at
-    /// once: orders that were under way may have reached that life.
     std::function<void(const char* reason)> on_lost;
+    /// What an earlier life ran has ended. Orders that were sent before now may
+    /// have reached the new life: the next settled lists tell.
+    std::function<void(const char* reason)> on_new_life;
     /// A higher fencing token was used by somebody else.
     std::function<void()> on_fenced;
   };
@@ -73,7 +76,7 @@
   /// forgotten by the worker once all ends before them are durable too.
   /// Looks wait this long for an end from now on.
   void SetLookWait(Millis wait) { options_.look_wait = wait; }
-  void Acknowledge(std::int64_t number);
+  void Acknowledge(int life, std::int64_t number);
 
   /// The worker's lists have been read in this life and it answers.
   bool Ready() const { return synced_ && !settling_ && !silent_; }
@@ -85,6 +88,9 @@
   /// Ends that the worker has listed and still keeps.
   std::int64_t UnacknowledgedEnds() const { return last_end_ - acknowledged_; }
   const WorkerAddress& Address() const { return address_; }
+  std::int64_t Fence() const { return fence_; }
+  /// Number of the worker's present life under its id.
+  int Life() const { return life_; }
 
  private:
   void Look(Millis wait);
@@ -94,10 +100,7 @@
   void OnSilence();
   void OnOrder(OrderResult result, std::int64_t fence);
   void BeginSettling();
-  /// What the earlier life ran, if it was read, is reported as lost together
-  /// with the lists of the new one.
   void BeginLife(std::int64_t born_unix_ms, const char* reason);
-  void Lose(const char* reason);
   void ScheduleNextLook(bool has_new_ends);
   std::int64_t LeaseDeadline();
   void WatchLease();
@@ -120,17 +123,12 @@
   std::int64_t look_number_ = 0;
   std::int64_t fence_;
   std::int64_t born_unix_ms_ = 0;
-  /// Why a life that was read is over, until the next one has been read.
-  const char* lost_life_ = nullptr;
+  int life_ = 0;
   std::int64_t last_end_ = 0;
   std::int64_t acknowledged_ = 0;
   /// Last numbers of answers whose ends are not all durable, and whether they
   /// are by themselves.
   std::map<std::int64_t, bool> unstored_;
-  /// Answers of earlier lives that are still being stored, by their last
-  /// number. Each life numbers its ends from one: of two answers under one
-  /// number, the present life's counts as durable only when both are.
-  std::map<std::int64_t, int> earlier_unstored_;
   /// Last reading of the worker's clock and when its answer came.
   std::int64_t worker_clock_ms_ = 0;
   TimePoint worker_clock_at_{};
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -36,11 +36,13 @@
   slot->slot.id = id;
   slot->entry.id = id;
   slot->idle_since = ports_.clock->Now();
+  slot->unlisted_at = ports_.clock->Now();
   slot->link = std::make_shared<WorkerLink>(
       ports_.workers, ports_.timers, ports_.clock,
       WorkerAddress{.id = id, .address = address},
-      WorkerLinkOptions{.first_fence = options_.term * kFencesPerTerm,
-                        .lease = options_.task_lease},
+      WorkerLinkOptions{
+          .first_fence = std::max(options_.term * kFencesPerTerm, next_fence_),
+          .lease = options_.task_lease},
       WorkerLink::Listener{
           .on_lists =
               [this, id](const HoldAnswer& answer, TimePoint sent_at,
@@ -49,12 +51,20 @@
               },
           .on_lost = [this,
                       id](const char* reason) { OnWorkerLost(id, reason); },
+          .on_new_life = [this,
+                          id](const char* reason) { OnNewLife(id, reason); },
           .on_fenced = [this] { listener_.on_deposed(); }});
   // Lists can be matched only once the jobs are known.
   if (loaded_) slot->link->Begin();
   return slot.get();
 }
 
+void PartitionOwner::CloseLink(WorkerState* worker) {
+  // The worker may come back in the same life, which has seen this token.
+  next_fence_ = std::max(next_fence_, worker->link->Fence() + 1);
+  worker->link->Close();
+}
+
 bool PartitionOwner::IsSettled(const WorkerState& worker) const {
   return worker.tasks.empty() && worker.left.empty() &&
          worker.link->UnacknowledgedEnds() == 0 &&
@@ -67,7 +77,7 @@
     return;
   }
   LogEvent(LogLevel::kInfo, "worker-dropped", {{"worker", id}});
-  worker->link->Close();
+  CloseLink(worker);
   worker->dropped = true;
   // The link may be on the call stack: let it unwind first.
   ports_.timers->After(Millis(0), [self = shared_from_this(), id] {
@@ -85,7 +95,8 @@
     const TimePoint since =
         std::max(worker->unlisted_at, directory_->UnbrokenSince());
     if (directory_->FreshAt() < since + kEntryReturns) continue;
-    if (unread_workers_.erase(id) > 0) {
+    // One that answers is read to its last end.
+    if (!worker->link->Synced() && unread_workers_.erase(id) > 0) {
       LogEvent(LogLevel::kWarning, "worker-gone", {{"worker", id}});
       ScheduleDispatch();
     }
@@ -113,7 +124,7 @@
   if (worker != nullptr && worker->link->Address().address != entry->address) {
     // The worker has moved; what ran under the old address is another life.
     OnWorkerLost(id, "listed at another address");
-    worker->link->Close();
+    CloseLink(worker);
     workers_.erase(id);
     worker = nullptr;
   }
@@ -199,7 +210,8 @@
   }
   PaceFillers(worker);
   if (worker->strangers_listed == 0) worker->strangers.clear();
-  if (!answer.more_ends && unread_workers_.erase(id) > 0) {
+  if (!answer.more_ends && worker->unheard.empty() &&
+      unread_workers_.erase(id) > 0) {
     LogEvent(LogLevel::kInfo, "worker-read",
              {{"worker", id},
               {"running", answer.running.size()},
@@ -212,13 +224,13 @@
     for (const EndedTask& end : answer.ended) {
       last = std::max(last, end.number);
     }
-    recorder_->Save(std::vector<std::string>(changed.begin(), changed.end()),
-                    [self = shared_from_this(), link = worker->link, id, last,
-                     listed_at = ports_.clock->Now()] {
-                      if (self->closed_) return;
-                      self->OnEndsStored(id, last, listed_at);
-                      link->Acknowledge(last);
-                    });
+    const HeldEnds ends = {
+        .life = worker->link->Life(), .last = last, .changed = changed};
+    if (worker->unheard.empty()) {
+      StoreEnds(worker, ends);
+    } else {
+      worker->held.push_back(ends);
+    }
   }
   ScheduleDispatch();
 }
@@ -280,6 +292,10 @@
               {"worker", worker->slot.id}});
     return;
   }
+  if (MayBeUnheard(running.task.job)) {
+    ++worker->strangers_listed;
+    return;
+  }
   StopStranger(worker, running.task, running.run);
 }
 
@@ -300,7 +316,12 @@
 void PartitionOwner::OnEnded(WorkerState* worker, const EndedTask& end,
                              std::set<std::string>* changed) {
   JobRecord* job = jobs_.Find(end.task.job);
-  if (job == nullptr) return;
+  if (job == nullptr) {
+    if (MayBeUnheard(end.task.job)) {
+      worker->unheard.push_back({.end = end, .listed_at = ports_.clock->Now()});
+    }
+    return;
+  }
   // An end may be listed again by a worker whose entry had lapsed, after it has
   // changed the job and before that is stored: its acknowledgement waits for
   // the job's record whatever it changes now.
--- a/lib/Partition/WorkerLink.cc
+++ b/lib/Partition/WorkerLink.cc
@@ -78,7 +78,9 @@
     self->lease_watched_ = false;
     if (self->closed_ || self->lease_end_ == TimePoint{}) return;
     if (self->clock_->Now() < self->lease_end_) return self->WatchLease();
-    self->Lose("leases have run out");
+    self->lease_end_ = TimePoint{};
+    self->synced_ = false;
+    self->listener_.on_lost("leases have run out");
   });
 }
 
@@ -126,7 +128,9 @@
       break;
     case OrderResult::kOtherWorker:
       if (synced_ || lease_end_ != TimePoint{}) {
-        Lose("another worker answers at its address");
+        lease_end_ = TimePoint{};
+        synced_ = false;
+        listener_.on_lost("another worker answers at its address");
       }
       OnSilence();
       return;
@@ -155,12 +159,6 @@
     if (answer.born_unix_ms < born_unix_ms_) return;  // of an earlier life
     born_unix_ms_ = answer.born_unix_ms;
   }
-  if (lost_life_ != nullptr) {
-    // Orders under an earlier token may still begin something in this life.
-    if (fence != fence_) return;
-    Lose(lost_life_);
-    if (closed_) return;
-  }
   worker_clock_ms_ = answer.worker_clock_ms;
   worker_clock_at_ = last_answer_;
   clock_known_ = true;
@@ -207,31 +205,19 @@
 
 void WorkerLink::BeginLife(std::int64_t born_unix_ms, const char* reason) {
   born_unix_ms_ = born_unix_ms;
+  ++life_;
   ++fence_;
   last_end_ = 0;
   acknowledged_ = 0;
-  for (const auto& [number, stored] : unstored_) {
-    if (!stored) ++earlier_unstored_[number];
-  }
   unstored_.clear();
   clock_known_ = false;
   max_lease_worker_ms_ = 0;
-  if (synced_) {
-    lost_life_ = reason;
-    // A new life that stays silent is waited for no longer than the leases.
-    lease_end_ = std::max(
-        lease_end_, LeaseSurelyEnded(clock_->Now(), 0, options_.lease.count()));
-    WatchLease();
-  }
+  // A start that reached the new life has a lease by the earlier one's clock.
+  lease_end_ = clock_->Now() + options_.max_lease;
+  WatchLease();
   synced_ = false;
   settling_ = false;
-}
-
-void WorkerLink::Lose(const char* reason) {
-  lease_end_ = TimePoint{};
-  synced_ = false;
-  lost_life_ = nullptr;
-  listener_.on_lost(reason);
+  listener_.on_new_life(reason);
 }
 
 void WorkerLink::BeginSettling() {
@@ -245,7 +231,9 @@
   if (result == OrderResult::kUnknown && fence == fence_) BeginSettling();
   if (result == OrderResult::kFenced && fence == fence_) listener_.on_fenced();
   if (result == OrderResult::kOtherWorker) {
-    Lose("another worker answers at its address");
+    lease_end_ = TimePoint{};
+    synced_ = false;
+    listener_.on_lost("another worker answers at its address");
     LookLater(kRetryDelay);
   }
 }
@@ -280,12 +268,9 @@
                  });
 }
 
-void WorkerLink::Acknowledge(std::int64_t number) {
-  const auto earlier = earlier_unstored_.find(number);
-  if (earlier != earlier_unstored_.end()) {
-    if (--earlier->second == 0) earlier_unstored_.erase(earlier);
-    return;
-  }
+void WorkerLink::Acknowledge(int life, std::int64_t number) {
+  // Each life numbers its ends anew.
+  if (life != life_) return;
   const auto batch = unstored_.find(number);
   if (batch == unstored_.end()) return;
   batch->second = true;
