Hold back what an unread worker may run: its limit, unheard jobs, older owners

The stored list of workers now says which term had read all; the word counts only if that is the earlier owner's. The owner's part that deals with doubt has a file of its own (OwnerDoubt.cc). Tests, failing before: UnknownJobTest, UnreadWorkTest, UnknownOccurrenceTest, ReviewTest.AnOwnerBeforeTheLastMayStillGoOn.

--- a/include/basilusher/Jobs/JobTable.h
+++ b/include/basilusher/Jobs/JobTable.h
@@ -114,6 +114,10 @@
   std::unordered_map<std::string, std::unique_ptr<JobRecord>>& All() {
     return jobs_;
   }
+  const std::unordered_map<std::string, std::unique_ptr<JobRecord>>& All()
+      const {
+    return jobs_;
+  }
 
   /// The task's record; null if the job, occurrence or index is not known.
   TaskRecord* FindTask(const TaskId& id);
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -188,6 +188,9 @@
     /// Runs that are not wanted any more and whose end has not been listed.
     std::vector<LeftRun> left;
     std::vector<UnheardEnd> unheard;
+    /// Listed runs of jobs that this owner has not heard of, and since when.
+    std::map<std::pair<TaskId, std::int64_t>, TimePoint> unheard_runs;
+    int unheard_runs_listed = 0;
     std::vector<HeldEnds> held;
     /// Since when nothing has run there.
     TimePoint idle_since{};
@@ -237,6 +240,11 @@
   JobImage ImageOf(const std::string& job) const;
   void ForgetOldFinals();
   void SaveWorkers();
+  /// A worker has been read, or is known to hold nothing.
+  void NoteRead(const std::string& id);
+  /// Shortens the time of doubt, if only the earlier owner can have given
+  /// leases.
+  void ShortenDoubt();
   /// Takes the present revision of `key` out of a conflict; false if another
   /// owner's term has begun.
   bool TakeRevision(const StoreAnswer& conflict, const std::string& key,
@@ -281,6 +289,11 @@
   /// Decides on ends of unheard jobs once the inbox has been read after them.
   void DecideUnheard();
   void StoreEnds(WorkerState* worker, const HeldEnds& ends);
+  /// The run's job is not known, and the inbox has not been read since the run
+  /// was first listed.
+  bool IsUnheardRun(WorkerState* worker, const RunningTask& running);
+  /// An earlier owner's time of day may have been ahead of this one's.
+  void OpenListedOccurrence(JobRecord* job, const TaskId& id);
 
   // OwnerDispatch.cc: placing work.
   void ScheduleDispatch();
@@ -292,6 +305,9 @@
   void PlaceGang(JobRecord* job, int occurrence, int step,
                  const std::vector<WorkerSlot*>& slots);
   bool WithinCap(const JobRecord& job, const Resources& need) const;
+  /// What inherited tasks may use on workers that were not read yet, by
+  /// workspace.
+  std::map<std::string, Resources> UnseenUse() const;
   void StartTask(JobRecord* job, const TaskId& id, WorkerState* worker,
                  std::int64_t run);
   /// Tasks of the job may run, or have ended, unknown to this owner.
@@ -373,6 +389,7 @@
   std::map<std::string, FinalRecord> finals_;
   std::map<std::string, std::unique_ptr<WorkerState>> workers_;
   std::map<std::string, Resources> workspace_used_;
+  std::map<std::string, Resources> workspace_unseen_;
   std::map<std::string, DurationEstimate> durations_;
   AdviceBook advice_;
   int open_questions_ = 0;
@@ -381,8 +398,13 @@
   std::set<std::string> early_cancels_;
   /// Workers that may run tasks of an earlier owner and have not been read.
   std::set<std::string> unread_workers_;
+  /// The last owner that had read all workers: none before it gives leases.
+  std::int64_t read_by_term_ = 0;
+  /// This owner takes a worker for gone that it has not read.
+  bool gave_up_reading_ = false;
   TimePoint began_at_{};
   TimePoint doubt_until_{};
+  std::optional<TimePoint> earlier_owner_stopped_at_;
   std::map<std::string, Instance> instances_;
   std::map<std::string, TimePoint> instance_seen_at_;
   /// When each worker was first seen on an instance.
--- a/lib/Jobs/Job.cc
+++ b/lib/Jobs/Job.cc
@@ -1,6 +1,7 @@
 // Arithmetic on resources, task names and checks of job descriptions.
 #include "basilusher/Jobs/Job.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace basilusher {
@@ -71,6 +72,18 @@
           .accelerators = a.accelerators * n};
 }
 
+Resources Larger(const Resources& a, const Resources& b) {
+  return {.cpu_millis = std::max(a.cpu_millis, b.cpu_millis),
+          .memory_mb = std::max(a.memory_mb, b.memory_mb),
+          .accelerators = std::max(a.accelerators, b.accelerators)};
+}
+
+Resources Smaller(const Resources& a, const Resources& b) {
+  return {.cpu_millis = std::min(a.cpu_millis, b.cpu_millis),
+          .memory_mb = std::min(a.memory_mb, b.memory_mb),
+          .accelerators = std::min(a.accelerators, b.accelerators)};
+}
+
 bool Fits(const Resources& need, const Resources& room) {
   return need.cpu_millis <= room.cpu_millis &&
          need.memory_mb <= room.memory_mb &&
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -82,6 +82,7 @@
 void PartitionOwner::Dispatch() {
   if (!MayStart()) return;
   const TimePoint now = ports_.clock->Now();
+  workspace_unseen_ = UnseenUse();
   std::map<std::string, std::vector<WorkerSlot*>> pools;
   std::map<std::string, std::vector<WorkerSlot*>> all_slots;
   for (const auto& [id, worker] : workers_) {
@@ -159,6 +160,8 @@
   Resources used;
   const auto it = workspace_used_.find(job.spec.workspace);
   if (it != workspace_used_.end()) used = it->second;
+  const auto unseen = workspace_unseen_.find(job.spec.workspace);
+  if (unseen != workspace_unseen_.end()) used += unseen->second;
   used += need;
   const Resources& cap = workspace->second.cap;
   return (cap.cpu_millis == 0 || used.cpu_millis <= cap.cpu_millis) &&
@@ -170,19 +173,6 @@
   return std::max(task.run, (options_.term - 1) * kRunsPerTerm) + 1;
 }
 
-bool PartitionOwner::InDoubt(const JobRecord& job) const {
-  if (!job.inherited || unread_workers_.empty()) return false;
-  if (ports_.clock->Now() < doubt_until_) return true;
-  // Leases that the earlier owner gave have run out, but not those of workers
-  // that this owner is reading.
-  return std::any_of(unread_workers_.begin(), unread_workers_.end(),
-                     [this](const std::string& id) {
-                       const auto it = workers_.find(id);
-                       return it != workers_.end() &&
-                              it->second->link->Synced();
-                     });
-}
-
 bool PartitionOwner::NeedsAdvice(const JobRecord& job) const {
   const QueueConfig* queue = QueueOf(job);
   return queue != nullptr && queue->advice.needed;
--- /dev/null
+++ b/lib/Partition/OwnerDoubt.cc
@@ -0,0 +1,196 @@
+// What may run or have ended without the owner's knowledge: on workers that
+// were not read, in jobs that it has not heard of, in new lives. When that is
+// settled.
+#include <algorithm>
+
+#include "basilusher/Partition/PartitionOwner.h"
+#include "basilusher/Support/Log.h"
+
+namespace basilusher {
+namespace {
+
+/// Entries lapse while the store does not take their workers' heartbeats; those
+/// of living workers are back within two seconds of its return.
+constexpr Millis kEntryReturns{2300};
+
+}  // namespace
+
+bool PartitionOwner::IsSettled(const WorkerState& worker) const {
+  return worker.tasks.empty() && worker.left.empty() &&
+         worker.link->UnacknowledgedEnds() == 0 &&
+         !unread_workers_.contains(worker.slot.id);
+}
+
+void PartitionOwner::DropIfSettled(const std::string& id) {
+  WorkerState* worker = FindWorker(id);
+  if (!loaded_ || worker == nullptr || worker->listed || !IsSettled(*worker)) {
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "worker-dropped", {{"worker", id}});
+  CloseLink(worker);
+  worker->dropped = true;
+  // The link may be on the call stack: let it unwind first.
+  ports_.timers->After(Millis(0), [self = shared_from_this(), id] {
+    const auto it = self->workers_.find(id);
+    if (it != self->workers_.end() && it->second->dropped) {
+      self->workers_.erase(it);
+    }
+    self->SaveWorkers();
+  });
+}
+
+void PartitionOwner::FindGoneWorkers() {
+  for (const auto& [id, worker] : workers_) {
+    if (worker->dropped || worker->unlisted_at == TimePoint{}) continue;
+    const TimePoint since =
+        std::max(worker->unlisted_at, directory_->UnbrokenSince());
+    if (directory_->FreshAt() < since + kEntryReturns) continue;
+    // One that answers is read to its last end.
+    if (!worker->link->Synced() && unread_workers_.erase(id) > 0) {
+      LogEvent(LogLevel::kWarning, "worker-gone", {{"worker", id}});
+      gave_up_reading_ = true;
+      ScheduleDispatch();
+    }
+    DropIfSettled(id);
+  }
+}
+
+void PartitionOwner::NoteRead(const std::string& id) {
+  if (unread_workers_.erase(id) == 0) return;
+  if (!unread_workers_.empty() || gave_up_reading_) return;
+  read_by_term_ = options_.term;
+  SaveWorkers();
+}
+
+void PartitionOwner::NoteEarlierOwnerStopped() {
+  earlier_owner_stopped_at_ = ports_.clock->Now();
+  if (loaded_) ShortenDoubt();
+}
+
+void PartitionOwner::ShortenDoubt() {
+  // Unless the earlier owner had read all workers, one before it may still give
+  // leases to those that it had not.
+  const bool only_one =
+      options_.term <= 2 || read_by_term_ + 1 >= options_.term;
+  if (!earlier_owner_stopped_at_ || !only_one) return;
+  const Millis lease_bound =
+      LeaseSurelyEnded(began_at_, 0, options_.task_lease.count()) - began_at_;
+  doubt_until_ =
+      std::min(doubt_until_, *earlier_owner_stopped_at_ + lease_bound);
+}
+
+bool PartitionOwner::InDoubt(const JobRecord& job) const {
+  if (!job.inherited || unread_workers_.empty()) return false;
+  if (ports_.clock->Now() < doubt_until_) return true;
+  // Leases that the earlier owner gave have run out, but not those of workers
+  // that this owner is reading.
+  return std::any_of(unread_workers_.begin(), unread_workers_.end(),
+                     [this](const std::string& id) {
+                       const auto it = workers_.find(id);
+                       return it != workers_.end() &&
+                              it->second->link->Synced();
+                     });
+}
+
+std::map<std::string, Resources> PartitionOwner::UnseenUse() const {
+  std::map<std::string, Resources> unseen;
+  if (unread_workers_.empty()) return unseen;
+  Resources largest;
+  for (const auto& [id, worker] : workers_) {
+    largest = Larger(largest, worker->slot.room);
+  }
+  Resources room;
+  for (const std::string& id : unread_workers_) {
+    const auto it = workers_.find(id);
+    room += it != workers_.end() && it->second->listed ? it->second->slot.room
+                                                       : largest;
+  }
+  for (const auto& [id, job] : jobs_.All()) {
+    if (IsFinal(job->state) || !InDoubt(*job)) continue;
+    Resources& use = unseen[job->spec.workspace];
+    for (const auto& [number, occurrence] : job->occurrences) {
+      for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+        if (!StepReady(*job, occurrence, static_cast<int>(s))) continue;
+        for (const TaskRecord& task : occurrence.steps[s].tasks) {
+          if (task.state == TaskState::kWaiting && !task.placed_here) {
+            use += job->spec.steps[s].need;
+          }
+        }
+      }
+    }
+  }
+  for (auto& [workspace, use] : unseen) use = Smaller(use, room);
+  return unseen;
+}
+
+bool PartitionOwner::MayBeUnheard(const std::string& job) const {
+  return jobs_.Find(job) == nullptr && !finals_.contains(job) &&
+         inbox_->FreshAt() < ports_.clock->Now();
+}
+
+void PartitionOwner::DecideUnheard() {
+  for (const auto& [id, worker] : workers_) {
+    if (worker->unheard.empty()) continue;
+    // An earlier owner may have run a job that a front told it of, ahead of
+    // this owner's watch.
+    const TimePoint last = worker->unheard.back().listed_at;
+    if (inbox_->FreshAt() < last) continue;
+    const std::vector<UnheardEnd> unheard = std::move(worker->unheard);
+    worker->unheard.clear();
+    std::vector<HeldEnds> held = std::move(worker->held);
+    worker->held.clear();
+    std::set<std::string> changed;
+    for (const UnheardEnd& row : unheard) {
+      if (jobs_.Find(row.end.task.job) != nullptr) {
+        OnEnded(worker.get(), row.end, &changed);
+      }
+    }
+    for (HeldEnds& ends : held) {
+      ends.changed.insert(changed.begin(), changed.end());
+      StoreEnds(worker.get(), ends);
+    }
+  }
+}
+
+bool PartitionOwner::IsUnheardRun(WorkerState* worker,
+                                  const RunningTask& running) {
+  if (!MayBeUnheard(running.task.job)) return false;
+  const auto [it, added] = worker->unheard_runs.try_emplace(
+      {running.task, running.run}, ports_.clock->Now());
+  return inbox_->FreshAt() < it->second;
+}
+
+void PartitionOwner::OpenListedOccurrence(JobRecord* job, const TaskId& id) {
+  if (id.occurrence < job->next_occurrence) return;
+  OpenDueOccurrences(
+      job, job->spec.start_at_unix_ms + id.occurrence * job->spec.interval_ms);
+}
+
+void PartitionOwner::StoreEnds(WorkerState* worker, const HeldEnds& ends) {
+  recorder_->Save(
+      std::vector<std::string>(ends.changed.begin(), ends.changed.end()),
+      [self = shared_from_this(), link = worker->link, id = worker->slot.id,
+       life = ends.life, last = ends.last, listed_at = ports_.clock->Now()] {
+        if (self->closed_) return;
+        self->OnEndsStored(id, last, listed_at);
+        link->Acknowledge(life, last);
+      });
+}
+
+void PartitionOwner::OnNewLife(const std::string& id, const char* reason) {
+  WorkerState* worker = FindWorker(id);
+  if (worker == nullptr) return;
+  Count("workers_lost_total");
+  advice_.ForgetWorker(id);
+  LogEvent(
+      LogLevel::kWarning, "worker-reborn",
+      {{"worker", id}, {"reason", reason}, {"tasks", worker->tasks.size()}});
+  worker->unheard.clear();
+  worker->held.clear();
+  for (const TaskId& task_id : worker->tasks) {
+    TaskRecord* task = jobs_.FindTask(task_id);
+    if (task != nullptr) task->in_doubt = true;
+  }
+}
+
+}  // namespace basilusher
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -19,6 +19,9 @@
 /// leaves is noticed this much later, against seconds that either takes.
 constexpr Millis kDirectoryGather{150};
 
+/// Beside the workers' ids in their record.
+constexpr const char* kReadByTerm = "";
+
 std::string EncodeFinal(const JobRecord& job) {
   return Json({{"s", NameOf(kJobStateNames, job.state)}, {"q", job.spec.queue}})
       .dump();
@@ -197,6 +200,7 @@
             ? Json::object()
             : Json::parse(answer.items.front().value, nullptr, false);
     if (known.is_object()) {
+      self->read_by_term_ = known.value(kReadByTerm, std::int64_t{0});
       for (const auto& [id, address] : known.items()) {
         if (!address.is_string()) continue;
         WorkerState* worker = self->AddWorker(id, address.get<std::string>());
@@ -225,6 +229,8 @@
             {"after_ms", (ports_.clock->Now() - began_at_).count()}});
   // Lists can be matched only now that the jobs are known.
   for (const auto& [id, worker] : workers_) worker->link->Begin();
+  ShortenDoubt();
+  if (unread_workers_.empty()) read_by_term_ = options_.term;
   SaveWorkers();
   ScheduleDispatch();
 }
@@ -383,6 +389,7 @@
   saving_workers_ = true;
   workers_changed_ = false;
   Json known = Json::object();
+  if (read_by_term_ > 0) known[kReadByTerm] = read_by_term_;
   std::vector<std::string> ids;
   for (const auto& [id, worker] : workers_) {
     if (worker->ended || worker->dropped) continue;
@@ -450,7 +457,7 @@
 
 int PartitionOwner::Pending(const std::string& queue) const {
   int pending = 0;
-  for (const auto& [id, job] : const_cast<JobTable&>(jobs_).All()) {
+  for (const auto& [id, job] : jobs_.All()) {
     if (job->spec.queue == queue && job->state == JobState::kQueued) ++pending;
   }
   return pending;
@@ -461,10 +468,4 @@
   ScheduleDispatch();
 }
 
-void PartitionOwner::NoteEarlierOwnerStopped() {
-  const Millis lease_bound =
-      LeaseSurelyEnded(began_at_, 0, options_.task_lease.count()) - began_at_;
-  doubt_until_ = std::min(doubt_until_, ports_.clock->Now() + lease_bound);
-}
-
 }  // namespace basilusher
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -13,9 +13,6 @@
 constexpr Millis kStopAgain{600};
 /// An order that was sent this long ago has been answered or given up.
 constexpr Millis kOrdersSettled{600};
-/// Entries lapse while the store does not take their workers' heartbeats; those
-/// of living workers are back within two seconds of its return.
-constexpr Millis kEntryReturns{2300};
 /// After a failed run its task waits a little, so that a worker that fails
 /// everything cannot spend all attempts at once.
 constexpr Millis kRetryAfterFailure{30};
@@ -65,45 +62,6 @@
   worker->link->Close();
 }
 
-bool PartitionOwner::IsSettled(const WorkerState& worker) const {
-  return worker.tasks.empty() && worker.left.empty() &&
-         worker.link->UnacknowledgedEnds() == 0 &&
-         !unread_workers_.contains(worker.slot.id);
-}
-
-void PartitionOwner::DropIfSettled(const std::string& id) {
-  WorkerState* worker = FindWorker(id);
-  if (!loaded_ || worker == nullptr || worker->listed || !IsSettled(*worker)) {
-    return;
-  }
-  LogEvent(LogLevel::kInfo, "worker-dropped", {{"worker", id}});
-  CloseLink(worker);
-  worker->dropped = true;
-  // The link may be on the call stack: let it unwind first.
-  ports_.timers->After(Millis(0), [self = shared_from_this(), id] {
-    const auto it = self->workers_.find(id);
-    if (it != self->workers_.end() && it->second->dropped) {
-      self->workers_.erase(it);
-    }
-    self->SaveWorkers();
-  });
-}
-
-void PartitionOwner::FindGoneWorkers() {
-  for (const auto& [id, worker] : workers_) {
-    if (worker->dropped || worker->unlisted_at == TimePoint{}) continue;
-    const TimePoint since =
-        std::max(worker->unlisted_at, directory_->UnbrokenSince());
-    if (directory_->FreshAt() < since + kEntryReturns) continue;
-    // One that answers is read to its last end.
-    if (!worker->link->Synced() && unread_workers_.erase(id) > 0) {
-      LogEvent(LogLevel::kWarning, "worker-gone", {{"worker", id}});
-      ScheduleDispatch();
-    }
-    DropIfSettled(id);
-  }
-}
-
 void PartitionOwner::OnDirectory(const StoredItem& item) {
   const std::optional<WorkerEntry> entry =
       item.removed ? std::nullopt
@@ -201,6 +159,7 @@
   if (worker == nullptr) return;
   std::set<std::string> changed;
   worker->strangers_listed = 0;
+  worker->unheard_runs_listed = 0;
   for (const EndedTask& end : answer.ended) OnEnded(worker, end, &changed);
   for (const RunningTask& running : answer.running) OnRunning(worker, running);
   // What is missing from a list that is cut short may have ended.
@@ -210,14 +169,17 @@
   }
   PaceFillers(worker);
   if (worker->strangers_listed == 0) worker->strangers.clear();
-  if (!answer.more_ends && worker->unheard.empty() &&
-      unread_workers_.erase(id) > 0) {
+  if (worker->unheard_runs_listed == 0) worker->unheard_runs.clear();
+  const bool whole = !answer.more_ends && worker->unheard.empty() &&
+                     worker->unheard_runs.empty();
+  if (whole && unread_workers_.contains(id)) {
     LogEvent(LogLevel::kInfo, "worker-read",
              {{"worker", id},
               {"running", answer.running.size()},
               {"ended", answer.ended.size()},
-              {"unread", unread_workers_.size()},
+              {"unread", unread_workers_.size() - 1},
               {"after_ms", (ports_.clock->Now() - began_at_).count()}});
+    NoteRead(id);
   }
   if (!answer.ended.empty()) {
     std::int64_t last = 0;
@@ -246,6 +208,7 @@
 void PartitionOwner::OnRunning(WorkerState* worker,
                                const RunningTask& running) {
   JobRecord* job = jobs_.Find(running.task.job);
+  if (job != nullptr) OpenListedOccurrence(job, running.task);
   TaskRecord* task = jobs_.FindTask(running.task);
   const bool wanted = job != nullptr && task != nullptr &&
                       !IsFinal(job->state) && task->state != TaskState::kDone;
@@ -292,8 +255,9 @@
               {"worker", worker->slot.id}});
     return;
   }
-  if (MayBeUnheard(running.task.job)) {
+  if (IsUnheardRun(worker, running)) {
     ++worker->strangers_listed;
+    ++worker->unheard_runs_listed;
     return;
   }
   StopStranger(worker, running.task, running.run);
@@ -326,6 +290,7 @@
   // changed the job and before that is stored: its acknowledgement waits for
   // the job's record whatever it changes now.
   if (!job->final_stored) changed->insert(end.task.job);
+  OpenListedOccurrence(job, end.task);
   TaskRecord* task = jobs_.FindTask(end.task);
   if (task == nullptr) {
     // Its occurrence is done.
@@ -492,7 +457,7 @@
   worker->left.clear();
   worker->strangers.clear();
   worker->strangers_listed = 0;
-  unread_workers_.erase(id);
+  NoteRead(id);
   DropIfSettled(id);
   ScheduleDispatch();
 }
--- a/unittests/Partition/SimFleet.cc
+++ b/unittests/Partition/SimFleet.cc
@@ -167,7 +167,9 @@
   acknowledged_.insert(end.task);
   const StepSpec& step =
       jobs_.at(end.task.job).steps[static_cast<std::size_t>(end.task.step)];
-  const TimePoint ended_at = worker.ended_at.at(end.number);
+  const auto ended = worker.ended_at.find(end.number);
+  if (ended == worker.ended_at.end()) return;  // put there by a test
+  const TimePoint ended_at = ended->second;
   // An end whose worker's lease ran out before it was acknowledged may have
   // been given up.
   if (step.speculative || worker.lapsed_at >= ended_at) return;
