Take up a term that is noticed while the next try to be elected is planned

Callers: nothing is started for up to the whole life of a node's lease; submissions are accepted and wait. Cause: an election's write was not answered and was done more than a second later. Its key reached the node by the watch between two tries, and a planned try was reason enough to look no further; the try then found the term held (by this very node) and gave up. Nothing tells of the key again, so the term had a holder that did not know of it until its lease ended. Change: a node's own term is taken up first, whether a try is planned or not. After: passes, with all of NodeTests.

--- a/lib/Node/NodeAgent.cc
+++ b/lib/Node/NodeAgent.cc
@@ -140,18 +140,20 @@
 }
 
 void NodeAgent::ConsiderElection() {
-  if (stopping_ || standing_ || election_planned_ || owner_ != nullptr ||
-      lease_ == 0 || !watcher_->Loaded() || catalog_() == nullptr) {
+  if (stopping_ || standing_ || owner_ != nullptr || lease_ == 0 ||
+      !watcher_->Loaded() || catalog_() == nullptr) {
     return;
   }
   const bool own_earlier_life = owner_view_.node == options_.node &&
                                 owner_view_.incarnation != options_.incarnation;
   if (owner_view_.incarnation == options_.incarnation &&
       owner_view_.term > last_ended_term_) {
-    // Elected by a try whose answer was lost.
+    // Elected by a try whose answer was lost. Nobody else tells of it again,
+    // so this holds also while the next try is planned.
     OnElected(owner_view_.term, owner_view_.revision);
     return;
   }
+  if (election_planned_) return;
   if (!owner_view_.node.empty() && !own_earlier_life) return;
   election_planned_ = true;
   const double weakness = 1.0 / std::max(0.05, options_.strength) - 1.0;
