--- a/include/basilusher/Control/ClaimHome.h
+++ b/include/basilusher/Control/ClaimHome.h
@@ -74,6 +74,8 @@
     /// Asks of repeated submissions that wait for the outcome of an earlier
     /// request with their key, by request id.
     std::map<std::string, DeferredAsk> deferred;
+    /// Earliest time of the next read for the deferred asks.
+    TimePoint next_deferred_read{};
   };
 
   void OnAsk(const PeerId& from, const ClaimAsk& ask);
@@ -83,6 +85,8 @@
              const ClaimReply& reply);
   void AnswerAwaitingLoad(Bucket* bucket);
   void AnswerDeferred(Bucket* bucket);
+  /// Reads outcomes that other homes have recorded, if an ask is deferred.
+  void ReadForDeferred(Bucket* bucket);
   void Apply(Bucket* bucket, const Json& record);
   ClaimReply ReplyFor(const Bucket& bucket, const ClaimAsk& ask) const;
   static bool IsOutcomeRecorded(const Bucket& bucket, const ClaimDone& done);
--- a/lib/Control/ClaimHome.cc
+++ b/lib/Control/ClaimHome.cc
@@ -17,6 +17,9 @@
 /// Longest time for which a repeated submission waits for the outcome of the
 /// first one.
 constexpr Millis kDeferTimeout{2000};
+/// Period of the reads of a journal on which deferred submissions wait: while
+/// homes move, the outcome may be recorded by another home.
+constexpr Millis kDeferredReadPeriod{250};
 
 constexpr char kClaimRecord[] = "claim";
 constexpr char kDoneRecord[] = "done";
@@ -274,11 +277,19 @@
   }
 }
 
+void ClaimHome::ReadForDeferred(Bucket* bucket) {
+  const TimePoint now = context_.clock->Now();
+  if (bucket->deferred.empty() || now < bucket->next_deferred_read) return;
+  bucket->next_deferred_read = now + kDeferredReadPeriod;
+  bucket->journal->Refresh();
+}
+
 void ClaimHome::OnTick() {
   for (std::pair<const int, Bucket>& row : buckets_) {
     row.second.journal->OnTick();
     if (!row.second.awaiting_load.empty()) row.second.journal->Load();
     AnswerAwaitingLoad(&row.second);
+    ReadForDeferred(&row.second);
     AnswerDeferred(&row.second);
   }
   ExpireClaims();
--- a/lib/Control/TaskHome.cc
+++ b/lib/Control/TaskHome.cc
@@ -331,6 +331,12 @@
     return;
   }
   const int run = task->run + 1;
+  if (command.request_id != TaskRequestId(task_id, run)) {
+    // The run of this command has been started elsewhere since it was
+    // submitted. A start under its id would not be found at the worker.
+    refuse();
+    return;
+  }
   const Json record = {{"kind", kStartRecord},
                        {"task", task_id},
                        {"run", run},
@@ -443,6 +449,12 @@
   const std::string task_id = TaskIdOfRequest(request_id);
   Task* task = Find(task_id);
   if (task == nullptr || task->phase == Phase::kEnded) return;
+  if (task->phase == Phase::kQueued &&
+      TaskRequestId(task_id, task->run + 1) != request_id) {
+    // The late end of an earlier run's request says nothing about the request
+    // of the next run.
+    return;
+  }
   task->submitted = false;
   if (task->phase == Phase::kQueued) {
     // Refused before a start was recorded: the task is submitted again after a
--- a/unittests/Control/TaskHomeTest.cc
+++ b/unittests/Control/TaskHomeTest.cc
@@ -178,6 +178,42 @@
   EXPECT_EQ(state.state["run"], 1);
 }
 
+/// A run waits in a front door while its task is started as that run and
+/// requeued, as after a move of the home. The command for the stale run must
+/// not start the next one under its id: nobody would find that run at its
+/// worker.
+TEST(TaskHome, ACommandForAnEarlierRunDoesNotStartTheNextOne) {
+  TestCluster cluster(1);
+  const std::string home = AnyTaskHome(&cluster);
+  const std::string id = TaskWithHome(&cluster, home);
+  // The workers of the pool refuse the first run, so that it is requeued.
+  for (const char* worker : {"w1", "w2"}) {
+    cluster.workers.at(worker).StopTask(TaskRequestId(id, 1),
+                                        cluster.clock.now);
+  }
+  int writes = 0;
+  cluster.fault_hook = [&](const StepEvent& event) -> FaultEffect {
+    // The first three writes are acceptance, start and requeue.
+    if (event.name.rfind("swap tasks/", 0) != 0 || ++writes != 3) return {};
+    Node* node = cluster.Get(home);
+    cluster.RunAfterOn(node, Millis(4), [&cluster, node, id] {
+      node->tasks->OnCommand({.request_id = TaskRequestId(id, 1),
+                              .attempt = 1,
+                              .worker = cluster.worker_infos.at("w3"),
+                              .team = "a"});
+    });
+    return {};
+  };
+  const TaskAnswer answer =
+      cluster.AskTask(home, TaskOperation::kSubmit, id, kLongTask);
+  ASSERT_EQ(answer.code, 0);
+  cluster.Advance(Millis(5000));
+  ASSERT_GE(writes, 4);
+  EXPECT_EQ(cluster.TaskState(home, id), "running");
+  EXPECT_EQ(cluster.RunsOf(id), 1);
+  EXPECT_EQ(cluster.RunningOf("a"), 1);
+}
+
 /// Sends an ask directly to `node`, as an entry does whose view has it as the
 /// home.
 TaskAnswer AskDirectly(TestCluster* cluster, const std::string& node,
