Divide scarce instances by need, and start lasting tasks first

Ruled out: instances that do not arrive (1.5 s each), limits of workspaces.

Change: the next instance goes to the pool with the smallest share of what it needs in time; late work comes after all work that can be in time; a busy instance without lasting tasks is drained for a pool whose share is less than half of its own pool's.

A second cause, seen in the same logs: a lasting job counted as too late to be of value once it had run for three times its objective, so that its lost or evicted tasks started behind the whole backlog. Such tasks now come first. Urgency::cost_per_value, which was never set, is gone.

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -390,6 +390,9 @@
   void PlanPools();
   void LogPool(const PoolState& pool, const PoolDemand& demand) const;
   PoolDemand DemandOf(const std::string& pool);
+  /// True if the job can no longer meet its objective.
+  bool IsLate(const JobRecord& job, const OccurrenceRecord& occurrence,
+              const QueueConfig& queue);
   void BeginOperation(const Instance& instance, std::int64_t wave,
                       const std::string& to_pool);
   void AdvanceOperation(const std::string& id, InstanceOperation* op);
--- a/include/basilusher/Schedule/PoolPlan.h
+++ b/include/basilusher/Schedule/PoolPlan.h
@@ -38,6 +38,8 @@
   Resources running;
   /// Needed by tasks that could start now.
   Resources waiting;
+  /// The part of `waiting` that belongs to jobs that are late already.
+  Resources waiting_late;
   /// Used or needed by lasting tasks, active or waiting.
   Resources lasting;
   /// Cores that arrivals at the present rate keep busy.
@@ -60,6 +62,11 @@
   Millis idle{0};
   /// It is being moved into the pool.
   bool arriving = false;
+  /// It may be drained for a pool that is served much worse: it takes new tasks
+  /// and none of its tasks is a lasting one.
+  bool reclaimable = false;
+  /// Number of its tasks.
+  int tasks = 0;
 };
 
 struct PoolState {
@@ -68,6 +75,9 @@
   bool spare = false;
   /// Result of InstancesNeeded().
   int needed = 0;
+  /// The same without waiting tasks of jobs that are late already; at most
+  /// `needed`.
+  int needed_in_time = 0;
   /// How long the pool has had more instances than it needs.
   Millis surplus_duration{0};
   std::vector<PoolInstance> instances;
@@ -80,8 +90,12 @@
 };
 
 /// Returns the moves to make now. Pools with too few instances get them from
-/// spare pools first, then from pools with a lasting surplus; instances that
-/// have been idle long enough in such a pool move to a spare pool. Thread-safe.
+/// spare pools first, then from pools with a lasting surplus. If there are not
+/// enough, the pool with the smallest share of what it needs in time comes
+/// first, and late work comes after all work that can be in time; busy
+/// instances are drained for a pool whose share is less than half of their own
+/// pool's. Instances that have been idle long enough in a pool with a surplus
+/// move to a spare pool. Thread-safe.
 std::vector<InstanceMove> PlanMoves(const std::vector<PoolState>& pools);
 
 }  // namespace basilusher
--- a/include/basilusher/Schedule/Urgency.h
+++ b/include/basilusher/Schedule/Urgency.h
@@ -29,16 +29,23 @@
 std::int64_t CriticalPathMs(const JobSpec& spec,
                             const OccurrenceRecord* occurrence, double ratio);
 
-/// Rank of a job; lower ranks go first. Compared by lateness, priority, slack
-/// and cost per value, in this order.
+/// How likely a job is to be of value; earlier ones go first.
+enum class Lateness : std::uint8_t {
+  /// Has lasting tasks that wait: their users are served only while they run.
+  kLasting,
+  /// Can meet its objective.
+  kInTime,
+  /// Late but still of value.
+  kLate,
+  /// Too late to be of any value.
+  kWorthless,
+};
+
+/// Rank of a job; lower ranks go first. Compared by lateness, priority and
+/// slack, in this order.
 struct Urgency {
-  /// 0: can meet its objective; 1: late but still of value; 2: too late to be
-  /// of any value.
-  int lateness = 0;
+  Lateness lateness = Lateness::kInTime;
   int priority = 0;
-  /// A larger figure means less value for each second of work. Never set: has
-  /// no effect.
-  double cost_per_value = 0;
   /// Time left until the objective, less the remaining critical path; negative
   /// if the job is late.
   std::int64_t slack_ms = 0;
--- a/lib/Partition/OwnerPools.cc
+++ b/lib/Partition/OwnerPools.cc
@@ -91,6 +91,14 @@
   }
 }
 
+bool PartitionOwner::IsLate(const JobRecord& job,
+                            const OccurrenceRecord& occurrence,
+                            const QueueConfig& queue) {
+  return RankJob(job, occurrence, queue, durations_[job.spec.queue].ratio,
+                 deps_.clock->Now())
+             .lateness >= Lateness::kLate;
+}
+
 PoolDemand PartitionOwner::DemandOf(const std::string& pool) {
   PoolDemand demand;
   for (const auto& [id, job] : jobs_.All()) {
@@ -115,6 +123,9 @@
         }
         if (waiting > 0 && StepReady(*job, occurrence, static_cast<int>(s))) {
           demand.waiting += charge * waiting;
+          if (IsLate(*job, occurrence, *queue)) {
+            demand.waiting_late += charge * waiting;
+          }
           // Workers that the advisor refused offer no room for the step.
           const int refused = advice_.RefusedCount(
               {.job = id, .occurrence = number, .step = static_cast<int>(s)});
@@ -144,6 +155,7 @@
             {"free", free},
             {"arriving", arriving},
             {"needed", pool.needed},
+            {"needed_in_time", pool.needed_in_time},
             {"running_cpu", demand.running.cpu_millis},
             {"waiting_cpu", demand.waiting.cpu_millis},
             {"lasting_cpu", demand.lasting.cpu_millis},
@@ -185,6 +197,9 @@
                           : worker->entry.draining || !worker->listed ||
                                 worker->link->Silent() ||
                                 worker->outlier_detector.OutlierScore(now) > 0;
+    view.reclaimable = op == instance_operations_.end() && worker != nullptr &&
+                       Usable(*worker) && worker->capacity.lasting == 0;
+    view.tasks = worker == nullptr ? 0 : static_cast<int>(worker->tasks.size());
     const bool unavailable =
         (op != instance_operations_.end() && op->second.wave > 0) ||
         instance.state == InstanceState::kMaintenance || unusable;
@@ -198,6 +213,9 @@
                                               : Resources{.cpu_millis = 1};
       const PoolDemand demand = DemandOf(name);
       state.needed = InstancesNeeded(demand, instance_capacity);
+      PoolDemand in_time = demand;
+      in_time.waiting -= demand.waiting_late;
+      state.needed_in_time = InstancesNeeded(in_time, instance_capacity);
       if (now - pools_logged_at_ >= kPoolLogPeriod) {
         LogPool(state, demand);
       }
--- a/lib/Schedule/Urgency.cc
+++ b/lib/Schedule/Urgency.cc
@@ -47,8 +47,8 @@
 }
 
 bool operator<(const Urgency& a, const Urgency& b) {
-  return std::tie(a.lateness, a.priority, a.slack_ms, a.cost_per_value) <
-         std::tie(b.lateness, b.priority, b.slack_ms, b.cost_per_value);
+  return std::tie(a.lateness, a.priority, a.slack_ms) <
+         std::tie(b.lateness, b.priority, b.slack_ms);
 }
 
 Urgency RankJob(const JobRecord& job, const OccurrenceRecord& occurrence,
@@ -62,10 +62,16 @@
   Urgency urgency;
   urgency.priority = queue.priority;
   urgency.slack_ms = objective - age - left;
-  if (age + left > objective) urgency.lateness = 1;
-  if (static_cast<double>(age + left) >
-      kLateFactor * static_cast<double>(objective)) {
-    urgency.lateness = 2;
+  const bool lasting =
+      std::any_of(job.spec.steps.begin(), job.spec.steps.end(),
+                  [](const StepSpec& step) { return step.lasting; });
+  if (lasting) {
+    urgency.lateness = Lateness::kLasting;
+  } else if (static_cast<double>(age + left) >
+             kLateFactor * static_cast<double>(objective)) {
+    urgency.lateness = Lateness::kWorthless;
+  } else if (age + left > objective) {
+    urgency.lateness = Lateness::kLate;
   }
   return urgency;
 }
