Hold starts back after the event loop was late, until the inbox was read

A tick that is 500 ms late now holds starts back until the inbox has been read after it, for 1.5 s at most, since a store that is silent to this node must not stop it; starts-held and starts_held_total tell.

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -332,6 +332,9 @@
   void ScheduleDispatch();
   void Dispatch();
   bool MayStart() const;
+  /// Holds starts back if the event loop is late: what it has not handled yet
+  /// may forbid them.
+  void CheckLoopLateness();
   bool Usable(const WorkerState& worker) const;
   /// Usable workers of one pool in a round of placement.
   struct PoolWorkers {
@@ -500,6 +503,11 @@
   std::int64_t orders_revision_ = 0;
   bool orders_loaded_ = false;
   bool saving_orders_ = false;
+  /// When the tick that is scheduled is due.
+  TimePoint next_tick_at_{};
+  /// When the event loop was last found late; starts wait for an inbox read
+  /// after it. Zero if they need not wait.
+  TimePoint held_since_{};
   TimePoint list_asked_at_{};
   TimePoint pools_logged_at_{};
   bool listing_ = false;
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -11,6 +11,12 @@
 constexpr Millis kDispatchDelay{1};
 /// Period of the tick that handles time-driven work.
 constexpr Millis kTickPeriod{100};
+/// A tick that is this late shows that the process was paused or is behind its
+/// work.
+constexpr Millis kLateLoop{500};
+/// Longest time for which starts wait for a read of the inbox after the loop
+/// was late; more than the period of its watch.
+constexpr Millis kMaxStartHold{1500};
 /// A task whose start was refused is not placed again for this long.
 constexpr Millis kRetryAfterRefusal{100};
 /// A job accepted longer ago than this is also placed on suspect workers,
@@ -69,10 +75,33 @@
     FindStragglers();
     Dispatch();
   }
+  next_tick_at_ = now + kTickPeriod;
   deps_.timers->After(kTickPeriod,
                       [self = shared_from_this()] { self->Tick(); });
 }
 
+void PartitionOwner::CheckLoopLateness() {
+  const TimePoint now = deps_.clock->Now();
+  const Millis late =
+      next_tick_at_ == TimePoint{} ? Millis(0) : now - next_tick_at_;
+  if (late >= kLateLoop) {
+    if (held_since_ == TimePoint{}) {
+      Count("starts_held_total");
+      LogEvent(LogLevel::kWarning, "starts-held",
+               {{"late_ms", late.count()},
+                {"inbox_age_ms", (now - inbox_->FreshAt()).count()}});
+    }
+    // The tick that is overdue counts once.
+    next_tick_at_ = now;
+    held_since_ = now;
+  }
+  // While the store is silent, MayStart() bounds how long the owner goes on.
+  if (inbox_ != nullptr && (inbox_->FreshAt() >= held_since_ ||
+                            now - held_since_ >= kMaxStartHold)) {
+    held_since_ = TimePoint{};
+  }
+}
+
 bool PartitionOwner::MayStart() const {
   return loaded_ && catalog_ != nullptr &&
          deps_.clock->Now() <
@@ -192,6 +221,8 @@
 
 void PartitionOwner::Dispatch() {
   if (!MayStart()) return;
+  CheckLoopLateness();
+  if (held_since_ != TimePoint{}) return;
   const TimePoint now = deps_.clock->Now();
   workspace_orphaned_ = OrphanedUse();
   std::map<std::string, PoolWorkers> pools = CollectWorkers(now);
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -25,6 +25,9 @@
   TimePoint Now() const override { return now_; }
   /// Advances the clock by `duration` and runs each timer when it is due.
   void Run(Millis duration);
+  /// Advances the clock without running a timer, as if the process had been
+  /// paused or busy: all timers that are due run late.
+  void Stall(Millis duration) { now_ += duration; }
 
  private:
   struct Entry {
@@ -85,6 +88,8 @@
   /// Commits that write a key under one of these prefixes are refused, as by a
   /// store that limits the rate of writes.
   std::vector<std::string> refused_prefixes;
+  /// Time until changes are reported to a watch.
+  Millis watch_delay{0};
   std::int64_t commits = 0;
   int leases_ended = 0;
 
--- a/unittests/Partition/SimStore.cc
+++ b/unittests/Partition/SimStore.cc
@@ -89,7 +89,8 @@
     }
   }
   if (!answer.items.empty() || timers_->Now() >= until) {
-    return Answer(done, answer);
+    timers_->After(watch_delay, [this, done, answer] { Answer(done, answer); });
+    return;
   }
   timers_->After(kStoreLatency, [this, prefix, revision, until, done] {
     if (InjectFault(done, false)) return;
