Evict lasting tasks of a wave's instances in time, and see them start sooner

In the last six tenths of a wave's time a lasting task is evicted although there is no room at the moment; such tasks are placed first. A worker on which a lasting task starts up is polled every 250 ms. The step's limit of unavailable tasks holds as before.

Test: OwnerTest.AWaveTakesALastingTasksInstanceInTimeUnderABurst, failed before.

--- a/include/basilusher/Jobs/JobTable.h
+++ b/include/basilusher/Jobs/JobTable.h
@@ -17,6 +17,9 @@
 
 namespace basilusher {
 
+/// Value of `TaskRecord::percent` at which a lasting task works at full speed.
+inline constexpr int kFullSpeedPercent = 100;
+
 enum class TaskState : std::uint8_t {
   kWaiting,
   /// A start command was sent; whether it took effect is not known yet.
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -400,6 +400,8 @@
 
   // OwnerPacing.cc: speed limit of fillers beside tasks that serve users.
   void PaceFillers(WorkerState* worker);
+  /// Sets how long polls of the worker may wait, by what its tasks need.
+  void UpdatePollWait(WorkerState* worker);
 
   // OwnerStragglers.cc: runs on workers that are slow, stuck or silent.
   void FindStragglers();
@@ -424,6 +426,8 @@
   void LoadWave(std::int64_t number);
   void SaveWave(std::int64_t number);
   void PlanWaves();
+  /// True if the wave must take instances that are in use to be in time.
+  bool WaveTimeIsShort(std::int64_t number) const;
   void PlanPools();
   void LogPool(const PoolState& pool, const PoolDemand& demand) const;
   PoolDemand DemandOf(const std::string& pool);
@@ -442,7 +446,17 @@
   void SaveOrders();
   void CancelOperationLater(const std::string& id);
   void OnInstanceResult(const std::string& id, InstanceResult result);
-  void EvictLasting(WorkerState* worker, bool leaving_soon);
+  /// When lasting tasks of a worker are stopped so that they start elsewhere.
+  enum class Eviction : std::uint8_t {
+    /// While the step's limit of unavailable tasks allows it and another worker
+    /// has room.
+    kIfRoomElsewhere,
+    /// While the step's limit allows it.
+    kWithoutRoom,
+    /// If another worker has room: the worker ends by itself soon.
+    kWorkerLeaves,
+  };
+  void EvictLasting(WorkerState* worker, Eviction eviction);
   bool HasRoomElsewhere(const JobRecord& job, const TaskId& id,
                         const WorkerState& from);
   void EvictFromDraining();
--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -183,7 +183,9 @@
       CancelOperationLater(id);
       return;
     }
-    EvictLasting(worker, /*leaving_soon=*/false);
+    EvictLasting(worker, op->wave > 0 && WaveTimeIsShort(op->wave)
+                             ? Eviction::kWithoutRoom
+                             : Eviction::kIfRoomElsewhere);
     return;
   }
   if (already_sent && now - op->sent_at < kOrderRetryDelay) return;
--- a/lib/Partition/OwnerPacing.cc
+++ b/lib/Partition/OwnerPacing.cc
@@ -1,5 +1,7 @@
 // Speed limit of fillers on workers where they run beside tasks that serve
 // users.
+#include <algorithm>
+
 #include "basilusher/Partition/PartitionOwner.h"
 #include "basilusher/Support/Log.h"
 
@@ -9,9 +11,31 @@
 /// Longest wait of a poll on workers where fillers run beside tasks that serve
 /// users. The latency that such tasks report covers the last half second.
 constexpr Millis kServingPollWait{400};
+/// The same where a lasting task is starting up. While it counts as
+/// unavailable, no other task of its step can be evicted.
+constexpr Millis kStartupPollWait{250};
 
 }  // namespace
 
+void PartitionOwner::UpdatePollWait(WorkerState* worker) {
+  Millis wait = WorkerLinkOptions().poll_wait;
+  if (worker->capacity.lasting > 0 || worker->capacity.fillers > 0) {
+    for (const TaskId& id : worker->tasks) {
+      const JobRecord* job = jobs_.Find(id.job);
+      const TaskRecord* task = jobs_.FindTask(id);
+      if (job == nullptr || task == nullptr) continue;
+      const StepSpec& spec = job->spec.steps[static_cast<std::size_t>(id.step)];
+      if (worker->capacity.fillers > 0 && spec.target_ms > 0) {
+        wait = std::min(wait, kServingPollWait);
+      }
+      if (spec.lasting && task->percent < kFullSpeedPercent) {
+        wait = std::min(wait, kStartupPollWait);
+      }
+    }
+  }
+  worker->link->SetPollWait(wait);
+}
+
 void PartitionOwner::PaceFillers(WorkerState* worker) {
   if (worker->capacity.fillers == 0) return;
   std::vector<TailSample> samples;
@@ -30,7 +54,6 @@
     }
     if (step.filler) fillers.push_back(id);
   }
-  if (!samples.empty()) worker->link->SetPollWait(kServingPollWait);
   const int before = worker->pace.Percent();
   const int percent = worker->pace.Update(samples, deps_.clock->Now());
   if (percent != before) {
--- a/lib/Partition/OwnerPools.cc
+++ b/lib/Partition/OwnerPools.cc
@@ -11,12 +11,10 @@
 /// directory entry.
 constexpr Millis kDirectoryEntryDelay{3000};
 constexpr Millis kPoolLogPeriod{1000};
-/// Value of `percent` at which a lasting task counts as working at full speed.
-constexpr int kFullSpeedPercent = 100;
 
 }  // namespace
 
-void PartitionOwner::EvictLasting(WorkerState* worker, bool leaving_soon) {
+void PartitionOwner::EvictLasting(WorkerState* worker, Eviction eviction) {
   const std::set<TaskId> tasks = worker->tasks;
   for (const TaskId& id : tasks) {
     JobRecord* job = jobs_.Find(id.job);
@@ -29,11 +27,14 @@
     const int unavailable = static_cast<int>(std::count_if(
         step.tasks.begin(), step.tasks.end(),
         [this](const TaskRecord& sibling) { return !IsAtWork(sibling); }));
-    if (!leaving_soon &&
+    if (eviction != Eviction::kWorkerLeaves &&
         unavailable >= std::max(1, spec.max_unavailable.value_or(1))) {
       continue;
     }
-    if (!HasRoomElsewhere(*job, id, *worker)) continue;
+    if (eviction != Eviction::kWithoutRoom &&
+        !HasRoomElsewhere(*job, id, *worker)) {
+      continue;
+    }
     LogEvent(LogLevel::kInfo, "task-evicted",
              {{"task", FormatTaskId(id)},
               {"worker", worker->capacity.id},
@@ -86,7 +87,7 @@
   for (const auto& [id, worker] : workers_) {
     if (worker->listed && worker->entry.draining && !worker->tasks.empty() &&
         worker->link->Ready()) {
-      EvictLasting(worker.get(), /*leaving_soon=*/true);
+      EvictLasting(worker.get(), Eviction::kWorkerLeaves);
     }
   }
 }
--- a/lib/Partition/OwnerWaves.cc
+++ b/lib/Partition/OwnerWaves.cc
@@ -13,6 +13,9 @@
 /// An instance of a wave that has been missing from the list for this long no
 /// longer exists.
 constexpr Millis kInstanceGoneTimeout{6000};
+/// In this last share of a wave's time lasting tasks are evicted although their
+/// pool has no room at the moment; they are the first to get some.
+constexpr double kShortTimeShare = 0.6;
 
 }  // namespace
 
@@ -118,6 +121,14 @@
          OrderedByEarlierOwner(id);
 }
 
+bool PartitionOwner::WaveTimeIsShort(std::int64_t number) const {
+  const auto it = waves_.find(number);
+  if (it == waves_.end()) return false;
+  const Millis left = it->second.deadline - deps_.clock->Now();
+  return static_cast<double>(left.count()) <
+         kShortTimeShare * static_cast<double>(it->second.wave.ramp_s * 1000);
+}
+
 void PartitionOwner::PlanWaves() {
   for (auto& [number, progress] : waves_) {
     if (!progress.loaded || progress.finished) continue;
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -169,6 +169,7 @@
     FindVanished(worker, answer, sent_at, settled);
     FreeAbandonedRuns(worker, answer, sent_at);
   }
+  UpdatePollWait(worker);
   PaceFillers(worker);
   if (worker->unowned_runs_reported == 0) worker->unwanted_runs.clear();
   if (worker->unknown_job_runs_reported == 0) worker->unknown_job_runs.clear();
--- a/unittests/Partition/OwnerTest.cc
+++ b/unittests/Partition/OwnerTest.cc
@@ -396,5 +396,35 @@
   EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
 }
 
+/// A burst leaves no room in the pool for the whole of the wave's time.
+TEST(OwnerTest, AWaveTakesALastingTasksInstanceInTimeUnderABurst) {
+  FleetSim sim;
+  SetUpFleet(&sim, 2);
+  sim.Submit(LastingJob(1, 1));
+  sim.Run(Millis(1000));
+  ASSERT_EQ(sim.fleet.RunningTasks(kJob), 1);
+  std::string worker;
+  for (const std::string& id : sim.fleet.AliveWorkerIds()) {
+    if (!sim.fleet.Find(id)->running.empty()) worker = id;
+  }
+  int number = 0;
+  const auto burst = [&sim, &number](Millis duration) {
+    for (Millis spent{0}; spent < duration; spent += Millis(500)) {
+      sim.Submit(FleetSim::MakeJob(
+          "00000000000001" + std::to_string(10 + number++), 40, 1000));
+      sim.Run(Millis(500));
+    }
+  };
+  burst(Millis(2000));
+  sim.owner->SetWave({.number = 1,
+                      .instances = {"m-" + worker},
+                      .ramp_s = 10,
+                      .max_at_once = 1});
+  burst(Millis(10000));
+  EXPECT_EQ(sim.fleet.peak_in_maintenance, 1);
+  EXPECT_EQ(sim.fleet.RunningTasks(kJob), 1);
+  EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
+}
+
 }  // namespace
 }  // namespace basilusher
