Summaries of the owner are not sampled; deferred jobs are counted

They are notices now, which are not sampled; StdoutLog.PeriodicSummariesAreNotSampled failed before.

--- a/include/basilusher/Support/Log.h
+++ b/include/basilusher/Support/Log.h
@@ -12,7 +12,15 @@
 
 namespace basilusher {
 
-enum class LogLevel { kDebug, kInfo, kWarning, kError };
+enum class LogLevel {
+  kDebug,
+  /// One line for each decision; sampled where there are many.
+  kInfo,
+  /// Periodic summaries, which are few: not sampled.
+  kNotice,
+  kWarning,
+  kError,
+};
 
 /// Options of the process's log.
 struct LogOptions {
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -195,6 +195,7 @@
     std::vector<Candidate>* candidates,
     const std::map<std::string, PoolWorkers>& pools) {
   const std::map<std::string, double> arriving = ArrivingCores();
+  std::int64_t deferred = 0;
   for (const auto& [name, pool] : pools) {
     std::vector<Candidate*> in_time;
     std::vector<BacklogJob> by_slack;
@@ -214,9 +215,12 @@
          .arriving_cores = coming == arriving.end() ? 0 : coming->second,
          .arriving_in_ms = kInstanceArrival.count()});
     for (std::size_t i = 0; i < in_time.size(); ++i) {
-      if (!servable[i]) in_time[i]->urgency.lateness = Lateness::kUnservable;
+      if (servable[i]) continue;
+      in_time[i]->urgency.lateness = Lateness::kUnservable;
+      ++deferred;
     }
   }
+  if (deps_.counters != nullptr) deps_.counters->Set("jobs_deferred", deferred);
 }
 
 void PartitionOwner::Dispatch() {
--- a/lib/Partition/OwnerPools.cc
+++ b/lib/Partition/OwnerPools.cc
@@ -150,7 +150,7 @@
     free += instance.free ? 1 : 0;
     arriving += instance.arriving ? 1 : 0;
   }
-  LogEvent(LogLevel::kInfo, "pool",
+  LogEvent(LogLevel::kNotice, "pool",
            {{"pool", pool.name},
             {"instances", pool.instances.size()},
             {"free", free},
--- a/lib/Support/Log.cc
+++ b/lib/Support/Log.cc
@@ -9,9 +9,10 @@
 namespace basilusher {
 namespace {
 
-constexpr EnumTable<LogLevel, 4> kLevelNames = {{
+constexpr EnumTable<LogLevel, 5> kLevelNames = {{
     {LogLevel::kDebug, "debug"},
     {LogLevel::kInfo, "info"},
+    {LogLevel::kNotice, "notice"},
     {LogLevel::kWarning, "warning"},
     {LogLevel::kError, "error"},
 }};
@@ -43,7 +44,10 @@
   if (TheLog() != nullptr) TheLog()->sink->Flush();
 }
 
-void CloseLog() { TheLog().reset(); }
+void CloseLog() {
+  FlushLog();
+  TheLog().reset();
+}
 
 void LogEvent(LogLevel level, std::string_view event, const Json& fields) {
   OpenedLog* log = TheLog().get();
--- a/lib/Support/StdoutLog.cc
+++ b/lib/Support/StdoutLog.cc
@@ -29,10 +29,10 @@
       infos_ = 0;
       ReportOmitted();
     }
-    const bool failure = level >= LogLevel::kWarning;
-    const bool over_rate = !failure && ++infos_ > kMaxInfoPerSecond;
-    // Half of the buffer is kept for lines of failures.
-    const std::size_t room = failure ? kMaxBuffered : kMaxBuffered / 2;
+    const bool sampled = level <= LogLevel::kInfo;
+    const bool over_rate = sampled && ++infos_ > kMaxInfoPerSecond;
+    // Half of the buffer is kept for summaries and lines of failures.
+    const std::size_t room = sampled ? kMaxBuffered / 2 : kMaxBuffered;
     if (over_rate || buffer_.size() + line.size() + 1 > room) {
       ++omitted_;
       return;
--- a/unittests/Support/SupportTest.cc
+++ b/unittests/Support/SupportTest.cc
@@ -9,6 +9,7 @@
 #include "basilusher/Support/Counters.h"
 #include "basilusher/Support/Digest.h"
 #include "basilusher/Support/Json.h"
+#include "basilusher/Support/Log.h"
 #include "basilusher/Support/Random.h"
 #include "basilusher/Support/Trace.h"
 
@@ -105,5 +106,21 @@
   EXPECT_EQ(hashes.size(), 64U);
 }
 
+/// At the peak of a large fleet decisions exceed the rate of informational
+/// lines; the summaries that explain them must not be left out.
+TEST(StdoutLog, PeriodicSummariesAreNotSampled) {
+  testing::internal::CaptureStdout();
+  OpenStdoutLog("test");
+  for (int i = 0; i < 10000; ++i) {
+    LogEvent(LogLevel::kInfo, "decision", {{"number", i}});
+  }
+  LogEvent(LogLevel::kNotice, "summary", {{"pool", "a"}});
+  CloseLog();
+  const std::string lines = testing::internal::GetCapturedStdout();
+  EXPECT_NE(lines.find("\"summary\""), std::string::npos);
+  EXPECT_NE(lines.find("\"notice\""), std::string::npos);
+  EXPECT_EQ(lines.find("\"number\":9999"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace basilusher
