--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -341,10 +341,11 @@
     std::vector<WorkerCapacity*> healthy;
     /// Also the suspect ones.
     std::vector<WorkerCapacity*> all;
-    /// Cores that lasting tasks leave to other tasks, and work that is left of
-    /// those that run, core-milliseconds.
+    /// Cores of the healthy workers that lasting tasks leave to other tasks.
     double cores = 0;
+    /// Work that is left of the other tasks that run, core-milliseconds.
     double running_core_ms = 0;
+    /// Charges without room on the healthy workers, and on all.
     FullPoolMemo full_if_healthy;
     FullPoolMemo full;
   };
--- a/include/basilusher/Schedule/Backlog.h
+++ b/include/basilusher/Schedule/Backlog.h
@@ -1,4 +1,4 @@
-// Admission of waiting jobs to a pool's schedule. Load pattern: a burst of
+// Which waiting jobs a pool can serve in time. Load pattern: a burst of
 // several times the mean load brings more work than the pool can serve in time,
 // for some seconds, while instances for it are on their way. With the least
 // slack first alone, each job starts when it can only just be in time, and all
@@ -34,11 +34,11 @@
   std::int64_t arriving_in_ms = 0;
 };
 
-/// Returns for each job of `by_slack`, least slack first, whether the pool can
-/// start all its tasks in time after the work that it runs and after the jobs
-/// before it that it can serve. All are, unless a good part of the work is
-/// unservable. Thread-safe.
-std::vector<bool> ServableInTime(const std::vector<BacklogJob>& by_slack,
+/// Returns for each job whether the pool can start all its tasks in time, after
+/// the work that it runs and after the servable jobs before it. `jobs` are in
+/// the order in which they get workers. All count as servable while those that
+/// are not are a small part of the work. Thread-safe.
+std::vector<bool> ServableInTime(const std::vector<BacklogJob>& jobs,
                                  const PoolCapacity& pool);
 
 }  // namespace basilusher
--- a/include/basilusher/Schedule/Placement.h
+++ b/include/basilusher/Schedule/Placement.h
@@ -66,7 +66,8 @@
  public:
   /// Records that no worker has room for `charge`.
   void Add(const Resources& charge) { without_room_.push_back(charge); }
-  /// True if a charge that needs at most as much in every dimension was added.
+  /// True if there is no room for `charge`, since there was none for another
+  /// one that needs at most as much in every dimension.
   bool HasNoRoomFor(const Resources& charge) const;
 
  private:
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -91,7 +91,7 @@
                {{"late_ms", late.count()},
                 {"inbox_age_ms", (now - inbox_->FreshAt()).count()}});
     }
-    // The tick that is overdue counts once.
+    // An overdue tick counts once, although several rounds may see it.
     next_tick_at_ = now;
     held_since_ = now;
   }
@@ -198,18 +198,18 @@
   std::int64_t deferred = 0;
   for (const auto& [name, pool] : pools) {
     std::vector<Candidate*> in_time;
-    std::vector<BacklogJob> by_slack;
+    std::vector<BacklogJob> backlog;
     for (Candidate& candidate : *candidates) {
       if (candidate.pool != &pool ||
           candidate.urgency.lateness != Lateness::kInTime) {
         continue;
       }
       in_time.push_back(&candidate);
-      by_slack.push_back(candidate.backlog);
+      backlog.push_back(candidate.backlog);
     }
     const auto coming = arriving.find(name);
     const std::vector<bool> servable = ServableInTime(
-        by_slack,
+        backlog,
         {.cores = pool.cores,
          .running_core_ms = pool.running_core_ms,
          .arriving_cores = coming == arriving.end() ? 0 : coming->second,
--- a/lib/Schedule/Backlog.cc
+++ b/lib/Schedule/Backlog.cc
@@ -13,14 +13,14 @@
 
 }  // namespace
 
-std::vector<bool> ServableInTime(const std::vector<BacklogJob>& by_slack,
+std::vector<bool> ServableInTime(const std::vector<BacklogJob>& jobs,
                                  const PoolCapacity& pool) {
   std::vector<bool> servable;
-  servable.reserve(by_slack.size());
+  servable.reserve(jobs.size());
   double ahead = pool.running_core_ms;
   double total = 0;
   double unservable = 0;
-  for (const BacklogJob& job : by_slack) {
+  for (const BacklogJob& job : jobs) {
     const std::int64_t after_arrival =
         std::max<std::int64_t>(0, job.slack_ms - pool.arriving_in_ms);
     const double done_in_time =
@@ -36,7 +36,7 @@
     }
   }
   if (unservable < kMinUnservableShare * total) {
-    servable.assign(by_slack.size(), true);
+    servable.assign(jobs.size(), true);
   }
   return servable;
 }
