--- a/unittests/Schedule/BacklogTest.cc
+++ b/unittests/Schedule/BacklogTest.cc
@@ -72,6 +72,7 @@
 std::vector<bool> Deferred(const std::vector<ReplayJob*>& order, int now,
                            const PoolCapacity& pool) {
   std::vector<BacklogJob> backlog;
+  backlog.reserve(order.size());
   for (const ReplayJob* job : order) {
     if (SlackMs(*job, now) < 0) continue;
     backlog.push_back({.slack_ms = SlackMs(*job, now),
@@ -80,6 +81,7 @@
   }
   const std::vector<bool> servable = ServableInTime(backlog, pool);
   std::vector<bool> deferred;
+  deferred.reserve(order.size());
   std::size_t next = 0;
   for (const ReplayJob* job : order) {
     deferred.push_back(SlackMs(*job, now) >= 0 && !servable[next++]);
