--- /dev/null
+++ b/include/basilusher/Partition/OwnerState.h
@@ -0,0 +1,145 @@
+// What an owner keeps of workers, instances and waves, and what a round of
+// placement works on. Plain data: PartitionOwner keeps it consistent. Not
+// thread-safe: I/O thread only.
+#ifndef BASILUSHER_PARTITION_OWNERSTATE_H_
+#define BASILUSHER_PARTITION_OWNERSTATE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "basilusher/Jobs/Catalog.h"
+#include "basilusher/Jobs/Interfaces.h"
+#include "basilusher/Jobs/JobTable.h"
+#include "basilusher/Partition/WorkerLink.h"
+#include "basilusher/Schedule/Backlog.h"
+#include "basilusher/Schedule/OutlierDetector.h"
+#include "basilusher/Schedule/Pacing.h"
+#include "basilusher/Schedule/Placement.h"
+#include "basilusher/Schedule/Urgency.h"
+
+namespace basilusher {
+
+/// A run that was given up but may still use resources of its worker.
+struct AbandonedRun {
+  TaskId task;
+  std::int64_t run = 0;
+  Resources charge;
+  TimePoint since{};
+};
+
+/// A reported end of a run whose job this owner does not know (yet).
+struct UnknownJobEnd {
+  EndedTask end;
+  TimePoint reported_at{};
+};
+
+/// The ends of one report. They are acknowledged together, once all jobs that
+/// they changed are durable.
+struct EndBatch {
+  int incarnation = 0;
+  std::int64_t last = 0;
+  std::set<std::string> changed;
+};
+
+/// What this owner knows of one worker.
+struct WorkerState {
+  WorkerEntry entry;
+  bool listed = false;
+  TimePoint unlisted_at{};
+  /// The link is closed; the entry is erased from the table by a timer that
+  /// is due at once.
+  bool dropped = false;
+  /// The store's record of workers includes this one, so a later owner will
+  /// read it. No task is placed before.
+  bool recorded = false;
+  /// This owner has ended this worker by moving its instance or taking it
+  /// down for maintenance.
+  bool instance_taken = false;
+  /// The worker gets no new tasks because its instance is being drained for a
+  /// move or for maintenance.
+  bool reserved = false;
+  WorkerCapacity capacity;
+  OutlierDetector outlier_detector;
+  FillerPaceController pace;
+  std::shared_ptr<WorkerLink> link;
+  std::set<TaskId> tasks;
+  /// Reported runs that this owner does not want, and when each was last
+  /// ordered to stop.
+  std::map<std::pair<TaskId, std::int64_t>, TimePoint> unwanted_runs;
+  int unowned_runs_reported = 0;
+  /// Runs that were given up and whose end has not been reported.
+  std::vector<AbandonedRun> abandoned;
+  std::vector<UnknownJobEnd> unknown_job_ends;
+  /// Reported runs of jobs that this owner does not know, and when each was
+  /// first reported.
+  std::map<std::pair<TaskId, std::int64_t>, TimePoint> unknown_job_runs;
+  int unknown_job_runs_reported = 0;
+  std::vector<EndBatch> deferred_ends;
+  /// Time since which no task has been on the worker.
+  TimePoint idle_since{};
+};
+
+/// A move or maintenance of one instance that is in progress.
+struct InstanceOperation {
+  /// Number of the maintenance wave; zero for a move.
+  std::int64_t wave = 0;
+  std::string to_pool;
+  /// Worker on the instance when the operation began.
+  std::string worker;
+  TimePoint begun_at{};
+  TimePoint sent_at{};
+  TimePoint accepted_at{};
+  /// The order is recorded in the store, so that a later owner knows of it.
+  /// No order is sent before.
+  bool recorded = false;
+  bool in_flight = false;
+  bool accepted = false;
+};
+
+/// A maintenance wave and how far it has got.
+struct WaveProgress {
+  MaintenanceWave wave;
+  TimePoint deadline{};
+  std::int64_t begun_unix_ms = 0;
+  /// Revision of the stored progress.
+  std::int64_t revision = 0;
+  std::set<std::string> done;
+  bool loaded = false;
+  bool finished = false;
+  bool saving = false;
+  bool changed = false;
+};
+
+/// Usable workers of one pool in a round of placement.
+struct PoolWorkers {
+  std::vector<WorkerCapacity*> healthy;
+  /// Also the suspect ones.
+  std::vector<WorkerCapacity*> all;
+  /// Cores of the healthy workers that lasting tasks leave to other tasks.
+  double cores = 0;
+  /// Work that is left of the other tasks that run, core-milliseconds.
+  double running_core_ms = 0;
+  /// Charges without room on the healthy workers, and on all.
+  FullPoolMemo full_if_healthy;
+  FullPoolMemo full;
+};
+
+/// A job with waiting tasks in a round of placement.
+struct PlacementCandidate {
+  Urgency urgency;
+  JobRecord* job = nullptr;
+  int occurrence = 0;
+  PoolWorkers* pool = nullptr;
+  /// The job has waited so long that suspect workers may run it too.
+  bool any_worker = false;
+  BacklogJob backlog;
+};
+
+}  // namespace basilusher
+
+#endif  // BASILUSHER_PARTITION_OWNERSTATE_H_
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -17,15 +17,10 @@
 #include "basilusher/Jobs/Interfaces.h"
 #include "basilusher/Jobs/JobTable.h"
 #include "basilusher/Net/IoLoop.h"
+#include "basilusher/Partition/OwnerState.h"
 #include "basilusher/Partition/Recorder.h"
-#include "basilusher/Partition/WorkerLink.h"
 #include "basilusher/Schedule/AdviceCache.h"
-#include "basilusher/Schedule/Backlog.h"
-#include "basilusher/Schedule/OutlierDetector.h"
-#include "basilusher/Schedule/Pacing.h"
-#include "basilusher/Schedule/Placement.h"
 #include "basilusher/Schedule/PoolPlan.h"
-#include "basilusher/Schedule/Urgency.h"
 #include "basilusher/Schedule/WavePlan.h"
 #include "basilusher/Store/StoreWatcher.h"
 #include "basilusher/Store/TransactionalStore.h"
@@ -160,91 +155,6 @@
   bool RecordsIdle() const { return recorder_->Idle(); }
 
  private:
-  /// A run that was given up but may still use resources of its worker.
-  struct AbandonedRun {
-    TaskId task;
-    std::int64_t run = 0;
-    Resources charge;
-    TimePoint since{};
-  };
-  /// A reported end of a run whose job this owner does not know (yet).
-  struct UnknownJobEnd {
-    EndedTask end;
-    TimePoint reported_at{};
-  };
-  /// The ends of one report. They are acknowledged together, once all jobs that
-  /// they changed are durable.
-  struct EndBatch {
-    int incarnation = 0;
-    std::int64_t last = 0;
-    std::set<std::string> changed;
-  };
-  /// What this owner knows of one worker.
-  struct WorkerState {
-    WorkerEntry entry;
-    bool listed = false;
-    TimePoint unlisted_at{};
-    /// The link is closed; the entry is erased from the table by a timer that
-    /// is due at once.
-    bool dropped = false;
-    /// The store's record of workers includes this one, so a later owner will
-    /// read it. No task is placed before.
-    bool recorded = false;
-    /// This owner has ended this worker by moving its instance or taking it
-    /// down for maintenance.
-    bool instance_taken = false;
-    /// The worker gets no new tasks because its instance is being drained for a
-    /// move or for maintenance.
-    bool reserved = false;
-    WorkerCapacity capacity;
-    OutlierDetector outlier_detector;
-    FillerPaceController pace;
-    std::shared_ptr<WorkerLink> link;
-    std::set<TaskId> tasks;
-    /// Reported runs that this owner does not want, and when each was last
-    /// ordered to stop.
-    std::map<std::pair<TaskId, std::int64_t>, TimePoint> unwanted_runs;
-    int unowned_runs_reported = 0;
-    /// Runs that were given up and whose end has not been reported.
-    std::vector<AbandonedRun> abandoned;
-    std::vector<UnknownJobEnd> unknown_job_ends;
-    /// Reported runs of jobs that this owner does not know, and when each was
-    /// first reported.
-    std::map<std::pair<TaskId, std::int64_t>, TimePoint> unknown_job_runs;
-    int unknown_job_runs_reported = 0;
-    std::vector<EndBatch> deferred_ends;
-    /// Time since which no task has been on the worker.
-    TimePoint idle_since{};
-  };
-  /// A move or maintenance of one instance that is in progress.
-  struct InstanceOperation {
-    /// Number of the maintenance wave; zero for a move.
-    std::int64_t wave = 0;
-    std::string to_pool;
-    /// Worker on the instance when the operation began.
-    std::string worker;
-    TimePoint begun_at{};
-    TimePoint sent_at{};
-    TimePoint accepted_at{};
-    /// The order is recorded in the store, so that a later owner knows of it.
-    /// No order is sent before.
-    bool recorded = false;
-    bool in_flight = false;
-    bool accepted = false;
-  };
-  /// A maintenance wave and how far it has got.
-  struct WaveProgress {
-    MaintenanceWave wave;
-    TimePoint deadline{};
-    std::int64_t begun_unix_ms = 0;
-    /// Revision of the stored progress.
-    std::int64_t revision = 0;
-    std::set<std::string> done;
-    bool loaded = false;
-    bool finished = false;
-    bool saving = false;
-    bool changed = false;
-  };
   struct FinalRecord {
     JobStatus status;
     TimePoint stored_at{};
@@ -336,39 +246,16 @@
   /// may forbid them.
   void CheckLoopLateness();
   bool Usable(const WorkerState& worker) const;
-  /// Usable workers of one pool in a round of placement.
-  struct PoolWorkers {
-    std::vector<WorkerCapacity*> healthy;
-    /// Also the suspect ones.
-    std::vector<WorkerCapacity*> all;
-    /// Cores of the healthy workers that lasting tasks leave to other tasks.
-    double cores = 0;
-    /// Work that is left of the other tasks that run, core-milliseconds.
-    double running_core_ms = 0;
-    /// Charges without room on the healthy workers, and on all.
-    FullPoolMemo full_if_healthy;
-    FullPoolMemo full;
-  };
-  /// A job with waiting tasks in a round of placement.
-  struct Candidate {
-    Urgency urgency;
-    JobRecord* job = nullptr;
-    int occurrence = 0;
-    PoolWorkers* pool = nullptr;
-    /// The job has waited so long that suspect workers may run it too.
-    bool any_worker = false;
-    BacklogJob backlog;
-  };
   std::map<std::string, PoolWorkers> CollectWorkers(TimePoint now);
   /// Returns the jobs with waiting tasks and adds up what their pools run.
-  std::vector<Candidate> CollectCandidates(
+  std::vector<PlacementCandidate> CollectCandidates(
       std::map<std::string, PoolWorkers>* pools, TimePoint now);
   /// Ranks the jobs that their pools can't serve in time behind the others.
-  void DeferUnservable(std::vector<Candidate>* candidates,
+  void DeferUnservable(std::vector<PlacementCandidate>* candidates,
                        const std::map<std::string, PoolWorkers>& pools);
   /// Cores of the instances that are on their way to each pool.
   std::map<std::string, double> ArrivingCores() const;
-  void PlaceJob(const Candidate& candidate);
+  void PlaceJob(const PlacementCandidate& candidate);
   void PlaceStep(JobRecord* job, int occurrence, int step,
                  const std::vector<WorkerCapacity*>& workers,
                  FullPoolMemo* full);
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -114,8 +114,8 @@
          worker.link->Ready();
 }
 
-std::map<std::string, PartitionOwner::PoolWorkers>
-PartitionOwner::CollectWorkers(TimePoint now) {
+std::map<std::string, PoolWorkers> PartitionOwner::CollectWorkers(
+    TimePoint now) {
   std::map<std::string, PoolWorkers> pools;
   for (const auto& [id, worker] : workers_) {
     worker->capacity.outlier_score = worker->outlier_detector.OutlierScore(now);
@@ -135,9 +135,9 @@
   return pools;
 }
 
-std::vector<PartitionOwner::Candidate> PartitionOwner::CollectCandidates(
+std::vector<PlacementCandidate> PartitionOwner::CollectCandidates(
     std::map<std::string, PoolWorkers>* pools, TimePoint now) {
-  std::vector<Candidate> candidates;
+  std::vector<PlacementCandidate> candidates;
   for (const auto& [id, job] : jobs_.All()) {
     if (IsFinal(job->state)) continue;
     const QueueConfig* queue = QueueOf(*job);
@@ -192,14 +192,14 @@
 }
 
 void PartitionOwner::DeferUnservable(
-    std::vector<Candidate>* candidates,
+    std::vector<PlacementCandidate>* candidates,
     const std::map<std::string, PoolWorkers>& pools) {
   const std::map<std::string, double> arriving = ArrivingCores();
   std::int64_t deferred = 0;
   for (const auto& [name, pool] : pools) {
-    std::vector<Candidate*> in_time;
+    std::vector<PlacementCandidate*> in_time;
     std::vector<BacklogJob> backlog;
-    for (Candidate& candidate : *candidates) {
+    for (PlacementCandidate& candidate : *candidates) {
       if (candidate.pool != &pool ||
           candidate.urgency.lateness != Lateness::kInTime) {
         continue;
@@ -230,17 +230,18 @@
   const TimePoint now = deps_.clock->Now();
   workspace_orphaned_ = OrphanedUse();
   std::map<std::string, PoolWorkers> pools = CollectWorkers(now);
-  std::vector<Candidate> candidates = CollectCandidates(&pools, now);
-  const auto by_urgency = [](const Candidate& a, const Candidate& b) {
+  std::vector<PlacementCandidate> candidates = CollectCandidates(&pools, now);
+  const auto by_urgency = [](const PlacementCandidate& a,
+                             const PlacementCandidate& b) {
     return a.urgency < b.urgency;
   };
   std::sort(candidates.begin(), candidates.end(), by_urgency);
   DeferUnservable(&candidates, pools);
   std::stable_sort(candidates.begin(), candidates.end(), by_urgency);
-  for (const Candidate& candidate : candidates) PlaceJob(candidate);
+  for (const PlacementCandidate& candidate : candidates) PlaceJob(candidate);
 }
 
-void PartitionOwner::PlaceJob(const Candidate& candidate) {
+void PartitionOwner::PlaceJob(const PlacementCandidate& candidate) {
   JobRecord* job = candidate.job;
   const std::vector<WorkerCapacity*>& workers =
       candidate.any_worker ? candidate.pool->all : candidate.pool->healthy;
--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -127,8 +127,7 @@
   }
 }
 
-PartitionOwner::WorkerState* PartitionOwner::WorkerOn(
-    const Instance& instance) {
+WorkerState* PartitionOwner::WorkerOn(const Instance& instance) {
   return instance.worker.empty() ? nullptr : FindWorker(instance.worker);
 }
 
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -20,14 +20,14 @@
 
 }  // namespace
 
-PartitionOwner::WorkerState* PartitionOwner::FindWorker(const std::string& id) {
+WorkerState* PartitionOwner::FindWorker(const std::string& id) {
   const auto it = workers_.find(id);
   return it == workers_.end() || it->second->dropped ? nullptr
                                                      : it->second.get();
 }
 
-PartitionOwner::WorkerState* PartitionOwner::AddWorker(
-    const std::string& id, const std::string& address) {
+WorkerState* PartitionOwner::AddWorker(const std::string& id,
+                                       const std::string& address) {
   std::unique_ptr<WorkerState>& worker = workers_[id];
   if (worker != nullptr && !worker->dropped) return worker.get();
   worker = std::make_unique<WorkerState>();
