--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -207,6 +207,8 @@
   std::int64_t StartedRuns() const { return started_runs_; }
   /// Starts without the worker's own ticket are refused.
   bool requires_tickets = false;
+  /// Time from a task's start until it works at full speed.
+  Millis startup{300};
   /// Most ended runs in the answer to one Hold call.
   std::size_t max_ends_per_poll = 500;
   int starts_without_ticket = 0;
--- a/unittests/Partition/OwnerTest.cc
+++ b/unittests/Partition/OwnerTest.cc
@@ -426,5 +426,35 @@
   EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
 }
 
+/// One task of the step may be away at a time, so each eviction waits until the
+/// last evicted task is known to be at work.
+TEST(OwnerTest, LastingTasksOfAWaveAreEvictedOneSoonAfterTheOther) {
+  FleetSim sim;
+  sim.fleet.startup = Millis(1100);
+  SetUpFleet(&sim, 8);
+  sim.Submit(LastingJob(6, 1));
+  sim.Run(Millis(3000));
+  ASSERT_EQ(sim.fleet.RunningTasks(kJob), 6);
+  MaintenanceWave wave = {.number = 1, .ramp_s = 30, .max_at_once = 6};
+  for (const std::string& id : sim.fleet.AliveWorkerIds()) {
+    if (!sim.fleet.Find(id)->running.empty()) {
+      wave.instances.push_back("m-" + id);
+    }
+  }
+  ASSERT_EQ(wave.instances.size(), 6U);
+  sim.owner->SetWave(wave);
+  Millis spent{0};
+  while (sim.store.Value("status/1") != "finished" && spent < Millis(30000)) {
+    sim.Run(Millis(100));
+    spent += Millis(100);
+  }
+  // Each eviction may take the stop, the start-up, one short poll and two ticks
+  // of the fleet.
+  const Millis bound =
+      6 * (Millis(100) + sim.fleet.startup + Millis(250) + Millis(200));
+  EXPECT_LE(spent, bound);
+  EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
+}
+
 }  // namespace
 }  // namespace basilusher
--- a/unittests/Partition/SimFleet.cc
+++ b/unittests/Partition/SimFleet.cc
@@ -11,7 +11,6 @@
 constexpr Millis kCallTimeout{450};
 constexpr Millis kDelayedBy{2500};
 constexpr Millis kStopTime{100};
-constexpr Millis kStartup{300};
 constexpr Millis kMoveTime{1500};
 constexpr Millis kMaintenanceTime{2000};
 constexpr std::int64_t kMaxLeaseMs = 10000;
@@ -346,7 +345,7 @@
   answer.worker_clock_ms = ClockMs(*worker);
   answer.born_unix_ms = worker->born_at.time_since_epoch().count();
   for (const auto& [task, run] : worker->running) {
-    const bool at_work = timers_->Now() - run.started_at > kStartup;
+    const bool at_work = timers_->Now() - run.started_at > startup;
     answer.running.push_back(
         {.task = task,
          .run = run.run,
