--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -352,14 +352,17 @@
     def crash_worker(self, worker):
         """SIGKILL of the worker's process; its machine is down."""
         host = self.host_of(worker)
+        self.processes[host].kill()
+        self.worker_ended(host)
+        return host
+
+    def worker_ended(self, host):
         process = self.processes.pop(host)
-        process.kill()
         process.wait()
         row = dict(self.platform.machines[host])
-        row.pop("Id")
+        worker = row.pop("Id")
         self.platform.machines[host] = {**row, "State": "down"}
-        self.note("disruption", "worker killed", worker=worker, host=host)
-        return host
+        self.note("disruption", "worker ended", worker=worker, host=host)
 
     def restart_worker_later(self, host, delay_s):
         def again():
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -2,11 +2,13 @@
 
 The text of a job tells what its tasks do (a JSON object): `ms` of work,
 `fail_runs` (numbers of runs that fail after `fail_ms`), `lasts`, `saves`
-(checkpoints), `gang` (number of members)."""
+(checkpoints), `gang` (number of members), `crash_ms` (the worker's process ends
+after so much work)."""
 
 import http.client
 import http.server
 import json
+import os
 import socket
 import sys
 import threading
@@ -141,6 +143,9 @@
             run["last_save"] += CHECKPOINT_S
             self.save(task, run, run["last_save"])
         run["work"] = work
+        if spec.get("crash_ms") and work * 1000 >= spec["crash_ms"]:
+            self.note("crash", task=task, run=run["run"])
+            os._exit(1)
         if spec.get("lasts"):
             run["percent"] = 100 if work >= STARTUP_S else 0
             return
