Await the long lease of a restarted worker after a take-over

Cause: a lease is a time on the worker's clock. A start computed from the clock of the life before gives the new life a lease as long as the worker allows (10 s). The owner counts with it in its own link and tells nobody; the next owner, told that the term before is over, waits for the lease that owners give (4.1 s).

Fix: the answer to the next owner's question names the workers that may hold a longer lease and what is left of it. The next owner awaits them, also if their entry expires, counts with them after it has read the worker, and passes them on. If the process that held the term can't tell, the wait is the longest lease that a worker accepts, which now comes from the settings (it was a constant).

Evidence: the five tests of LongLeaseTest and EndOfTermTest.ANodeTellsTheNextOwner... pass.

--- a/include/basilusher/Node/NodeAgent.h
+++ b/include/basilusher/Node/NodeAgent.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "basilusher/Node/Peers.h"
@@ -49,11 +50,16 @@
   /// tried until it has ended.
   void Stop(std::function<void()> done);
   /// Takes effect with the next term that this node holds.
-  void SetBounds(Millis task_lease, Millis final_retention, Millis holder_lease,
+  void SetBounds(Millis task_lease, Millis max_task_lease,
+                 Millis final_retention, Millis holder_lease,
                  Millis max_view_age);
   /// Ends the term that a peer says is over; true if none is held after it. No
   /// term below `term` begins here from then on.
   bool EndTermBelow(std::int64_t term);
+  /// Answers a later owner's request to end the terms before its own: whether
+  /// they have ended and, if this process held the last of them, which leases
+  /// it may have given that are longer than usual.
+  Json AnswerEndTerm(const Json& request);
 
   /// The owner while this node holds the term and has loaded its records.
   PartitionOwner* LocalOwner();
@@ -91,6 +97,9 @@
   /// Removes the owner record of an ended term until that is known to be done.
   void RemoveOwnerRecord(std::int64_t revision);
   void AskEarlierOwner(const OwnerView& earlier);
+  /// What is left of the long leases that this process gave in `term`; nothing
+  /// if it did not hold that term last.
+  std::optional<LongLeases> LongLeasesOf(std::int64_t term) const;
   void FinishStop();
   void EndLease(std::int64_t lease);
 
@@ -109,6 +118,11 @@
   std::int64_t term_ = 0;
   /// The last term that this process does not hold any more, or never will.
   std::int64_t last_ended_term_ = 0;
+  /// The last term that this process began and ended, when it ended, and the
+  /// long leases at that time.
+  std::int64_t held_term_ = 0;
+  TimePoint held_term_ended_at_{};
+  LongLeases long_leases_;
   std::int64_t term_key_revision_ = 0;
   std::int64_t lease_ = 0;
   std::int64_t grant_round_ = 0;
--- a/include/basilusher/Partition/OwnerOptions.h
+++ b/include/basilusher/Partition/OwnerOptions.h
@@ -82,6 +82,8 @@
   RecordKeys keys;
   /// Duration of the lease that runs on a worker get.
   Millis task_lease{4000};
+  /// Longest lease that a worker accepts, measured on its own clock.
+  Millis max_task_lease{10000};
   /// Minimum time for which the final state of a job can be queried.
   Millis final_retention{150000};
   /// Longest time for which an owner that cannot confirm its term keeps
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -35,6 +35,9 @@
   std::string queue;
 };
 
+/// Upper bounds of what is left of the leases on workers, by worker id.
+using LongLeases = std::map<std::string, Millis>;
+
 /// Leader that places the fleet's work during one term ("owner" in store keys
 /// and log events). Not thread-safe: I/O thread only.
 class PartitionOwner : public std::enable_shared_from_this<PartitionOwner> {
@@ -69,8 +72,12 @@
                 const std::string& record);
   /// A cancellation of the job is stored. The job may be unknown yet.
   void NoteCancelled(const std::string& id) { CancelJob(id); }
-  /// The earlier owner has confirmed that its term is over.
-  void NoteEarlierOwnerStopped();
+  /// The earlier owner has confirmed that its term is over. `long_leases` is
+  /// its LongLeases() at that time, or nothing if that is not known.
+  void NoteEarlierOwnerStopped(const std::optional<LongLeases>& long_leases);
+  /// Workers on which runs may hold leases that end later than if they were
+  /// renewed now.
+  LongLeases FindLongLeases() const;
 
   /// True once the records are loaded: from then on answers about jobs are
   /// complete.
@@ -137,6 +144,9 @@
   bool IsSafeToForget(const WorkerState& worker) const;
   /// Forgets a worker that has no directory entry, once that is safe.
   void DropIfSafeToForget(const std::string& id);
+  /// True if runs that an earlier owner started on the worker may still hold a
+  /// lease longer than those that owners renew.
+  bool MayHoldLongLease(const std::string& id) const;
   /// Stops waiting for unread workers whose directory entries have not come
   /// back, and forgets workers without an entry where that is safe.
   void DropGoneWorkers();
@@ -416,6 +426,11 @@
   TimePoint began_at_{};
   TimePoint orphaned_runs_until_{};
   std::optional<TimePoint> earlier_owner_stopped_at_;
+  /// When the leases have ended that earlier owners may have given on a worker,
+  /// where that is later than `orphaned_runs_until_`.
+  std::map<std::string, TimePoint> earlier_leases_until_;
+  /// Longest lease that the earlier owner may have given on other workers.
+  Millis earlier_lease_bound_{0};
   std::map<std::string, Instance> instances_;
   /// When the list of `instances_` was asked for.
   TimePoint instances_asked_at_{};
--- a/include/basilusher/Partition/WorkerLink.h
+++ b/include/basilusher/Partition/WorkerLink.h
@@ -43,8 +43,8 @@
   std::int64_t first_fence = 0;
   /// Duration of the lease that runs on the worker get.
   Millis lease{4000};
-  /// Longest lease that a worker accepts, measured on any clock.
-  Millis max_lease{10500};
+  /// Longest lease that a worker accepts, measured on its own clock.
+  Millis max_lease{10000};
   /// How long the worker may hold a poll open until a run ends.
   Millis poll_wait{1000};
 };
@@ -56,6 +56,10 @@
 TimePoint LatestLeaseEnd(TimePoint read_at, std::int64_t worker_clock_ms,
                          std::int64_t lease_worker_ms);
 
+/// Returns an upper bound for the local duration of a lease of `lease` on a
+/// worker's clock. Thread-safe.
+Millis LeaseBound(Millis lease);
+
 /// Link to one worker, over its successive incarnations (process lives under
 /// one worker id). Not thread-safe: I/O thread only. Callbacks must not destroy
 /// any part of the link.
@@ -101,6 +105,9 @@
   void Stop(const TaskId& task, std::int64_t run);
   void Pace(const TaskId& task, std::int64_t run, int percent,
             std::function<void(CommandResult)> done);
+  /// An earlier owner may have given the runs on the worker a lease that ends
+  /// as late as `until`.
+  void NoteEarlierLease(TimePoint until);
   /// Sets the longest wait of later polls.
   void SetPollWait(Millis wait) { options_.poll_wait = wait; }
   /// The ends of the report whose last end is `number` are durable. The worker
@@ -173,6 +180,7 @@
   bool clock_known_ = false;
   std::int64_t max_lease_worker_ms_ = 0;
   TimePoint lease_end_{};
+  TimePoint earlier_lease_end_{};
   TimePoint last_answer_{};
   int failed_polls_ = 0;
 };
--- a/lib/Node/NodeAgent.cc
+++ b/lib/Node/NodeAgent.cc
@@ -30,6 +30,23 @@
 constexpr Millis kStopPoll{20};
 constexpr Millis kEndTermTimeout{400};
 
+Json EncodeLongLeases(const LongLeases& leases) {
+  Json out = Json::object();
+  for (const auto& [worker, left] : leases) out[worker] = left.count();
+  return out;
+}
+
+std::optional<LongLeases> DecodeLongLeases(const Json& answer) {
+  const auto field = answer.find("long_leases");
+  if (field == answer.end() || !field->is_object()) return std::nullopt;
+  LongLeases leases;
+  for (const auto& [worker, left] : field->items()) {
+    if (!left.is_number_integer()) return std::nullopt;
+    leases[worker] = Millis(left.get<std::int64_t>());
+  }
+  return leases;
+}
+
 }  // namespace
 
 NodeAgent::NodeAgent(OwnerDependencies ports, PeerCaller* peers,
@@ -259,7 +276,7 @@
   // A term between the two was not heard of: its owner may still go on.
   if (earlier.term + 1 != owner_->Term()) return;
   if (earlier.node == options_.node) {
-    owner_->NoteEarlierOwnerStopped();
+    owner_->NoteEarlierOwnerStopped(LongLeasesOf(earlier.term));
     return;
   }
   const std::shared_ptr<PartitionOwner> owner = owner_;
@@ -269,7 +286,7 @@
       [self = shared_from_this(), owner, earlier](std::optional<Json> answer) {
         if (self->owner_ != owner) return;
         if (answer && answer->value("ended", false)) {
-          owner->NoteEarlierOwnerStopped();
+          owner->NoteEarlierOwnerStopped(DecodeLongLeases(*answer));
           return;
         }
         self->ports_.timers->After(kRenewPeriod, [self, owner, earlier] {
@@ -278,9 +295,29 @@
       });
 }
 
-void NodeAgent::SetBounds(Millis task_lease, Millis final_retention,
-                          Millis holder_lease, Millis max_view_age) {
+std::optional<LongLeases> NodeAgent::LongLeasesOf(std::int64_t term) const {
+  if (term != held_term_) return std::nullopt;
+  const Millis passed = ports_.clock->Now() - held_term_ended_at_;
+  LongLeases leases;
+  for (const auto& [worker, left] : long_leases_) {
+    if (left > passed) leases[worker] = left - passed;
+  }
+  return leases;
+}
+
+Json NodeAgent::AnswerEndTerm(const Json& request) {
+  const std::int64_t below = request.at("below").get<std::int64_t>();
+  Json answer = {{"ended", EndTermBelow(below)}};
+  const std::optional<LongLeases> leases = LongLeasesOf(below - 1);
+  if (leases) answer["long_leases"] = EncodeLongLeases(*leases);
+  return answer;
+}
+
+void NodeAgent::SetBounds(Millis task_lease, Millis max_task_lease,
+                          Millis final_retention, Millis holder_lease,
+                          Millis max_view_age) {
   options_.owner.task_lease = task_lease;
+  options_.owner.max_task_lease = max_task_lease;
   options_.owner.final_retention = final_retention;
   options_.owner.holder_lease = holder_lease;
   options_.owner.max_view_age = max_view_age;
@@ -301,6 +338,9 @@
   LogEvent(LogLevel::kWarning, "term-ended",
            {{"term", owner_->Term()}, {"reason", reason}});
   last_ended_term_ = std::max(last_ended_term_, owner_->Term());
+  held_term_ = owner_->Term();
+  held_term_ended_at_ = ports_.clock->Now();
+  long_leases_ = owner_->FindLongLeases();
   owner_->Close();
   owner_.reset();
   if (owner_view_.incarnation == options_.incarnation) {
--- a/lib/Partition/OwnerReconciliation.cc
+++ b/lib/Partition/OwnerReconciliation.cc
@@ -47,6 +47,7 @@
     const TimePoint since =
         std::max(worker->unlisted_at, directory_->UnbrokenSince());
     if (directory_->FreshAt() < since + kEntryReturnTime) continue;
+    if (unread_workers_.contains(id) && MayHoldLongLease(id)) continue;
     // A worker that answers is read to its last end.
     if (!worker->link->Synced() && unread_workers_.erase(id) > 0) {
       LogEvent(LogLevel::kWarning, "worker-gone", {{"worker", id}});
@@ -65,21 +66,50 @@
   SaveWorkers();
 }
 
-void PartitionOwner::NoteEarlierOwnerStopped() {
-  earlier_owner_stopped_at_ = deps_.clock->Now();
+void PartitionOwner::NoteEarlierOwnerStopped(
+    const std::optional<LongLeases>& long_leases) {
+  const TimePoint now = deps_.clock->Now();
+  earlier_owner_stopped_at_ = now;
+  earlier_lease_bound_ = LeaseBound(long_leases ? options_.task_lease
+                                                : options_.max_task_lease);
+  for (const auto& [id, left] : long_leases.value_or(LongLeases())) {
+    LogEvent(LogLevel::kInfo, "long-lease-inherited",
+             {{"worker", id}, {"left_ms", left.count()}});
+    earlier_leases_until_[id] = now + left;
+    WorkerState* worker = FindWorker(id);
+    if (worker != nullptr) worker->link->NoteEarlierLease(now + left);
+  }
   if (loaded_) ShortenOrphanedRunsWait();
 }
 
+LongLeases PartitionOwner::FindLongLeases() const {
+  LongLeases leases;
+  const TimePoint now = deps_.clock->Now();
+  const TimePoint renewed_until = now + LeaseBound(options_.task_lease);
+  const auto add = [&](const std::string& id, TimePoint until) {
+    if (until <= renewed_until) return;
+    Millis& left = leases[id];
+    left = std::max(left, until - now);
+  };
+  for (const auto& [id, worker] : workers_) add(id, worker->link->LeaseEnd());
+  for (const auto& [id, until] : earlier_leases_until_) add(id, until);
+  return leases;
+}
+
+bool PartitionOwner::MayHoldLongLease(const std::string& id) const {
+  const auto it = earlier_leases_until_.find(id);
+  return it != earlier_leases_until_.end() && deps_.clock->Now() < it->second;
+}
+
 void PartitionOwner::ShortenOrphanedRunsWait() {
   // Unless the previous owner had read all workers, an owner before it may
   // still give leases to those that the previous one had not read.
   const bool only_one =
       options_.term <= 2 || fully_read_term_ + 1 >= options_.term;
   if (!earlier_owner_stopped_at_ || !only_one) return;
-  const Millis lease_bound =
-      LatestLeaseEnd(began_at_, 0, options_.task_lease.count()) - began_at_;
   orphaned_runs_until_ =
-      std::min(orphaned_runs_until_, *earlier_owner_stopped_at_ + lease_bound);
+      std::min(orphaned_runs_until_,
+               *earlier_owner_stopped_at_ + earlier_lease_bound_);
 }
 
 bool PartitionOwner::MayHaveOrphanedRuns(const JobRecord& job) const {
@@ -89,6 +119,7 @@
   // this owner is still reading: it renews the leases of all runs there.
   return std::any_of(unread_workers_.begin(), unread_workers_.end(),
                      [this](const std::string& id) {
+                       if (MayHoldLongLease(id)) return true;
                        const auto it = workers_.find(id);
                        return it != workers_.end() &&
                               it->second->link->Synced();
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -123,9 +123,8 @@
   catalog_ = std::move(catalog);
   began_at_ = deps_.clock->Now();
   loading_since_ = began_at_;
-  const Millis lease_bound =
-      LatestLeaseEnd(began_at_, 0, options_.task_lease.count()) - began_at_;
-  orphaned_runs_until_ = began_at_ + options_.earlier_owner_grace + lease_bound;
+  orphaned_runs_until_ = began_at_ + options_.earlier_owner_grace +
+                         LeaseBound(options_.max_task_lease);
   LoadProgress();
   LoadFinals();
   LoadWorkers();
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -40,7 +40,8 @@
       WorkerAddress{.id = id, .address = address},
       WorkerLinkOptions{
           .first_fence = std::max(options_.term * kFencesPerTerm, next_fence_),
-          .lease = options_.task_lease},
+          .lease = options_.task_lease,
+          .max_lease = options_.max_task_lease},
       WorkerLink::Listener{
           .on_report =
               [this, id](const HoldAnswer& answer, TimePoint sent_at,
@@ -51,6 +52,10 @@
           .on_new_incarnation =
               [this, id](const char* reason) { OnNewIncarnation(id, reason); },
           .on_fenced = [this] { listener_.on_deposed(); }});
+  const auto lease = earlier_leases_until_.find(id);
+  if (lease != earlier_leases_until_.end()) {
+    worker->link->NoteEarlierLease(lease->second);
+  }
   // Reports can be matched to jobs only once the jobs are known.
   if (loaded_) worker->link->Begin();
   return worker.get();
--- a/lib/Partition/WorkerLink.cc
+++ b/lib/Partition/WorkerLink.cc
@@ -10,6 +10,8 @@
 constexpr std::int64_t kClockDriftPerMille = 20;
 /// Allowance for rounding and scheduling delays on both sides.
 constexpr Millis kLeaseMargin{50};
+/// Allowance for starts that are on their way when a new incarnation is noticed.
+constexpr Millis kStartInTransit{250};
 /// Delay between a failed poll and the next one.
 constexpr Millis kRetryDelay{150};
 constexpr Millis kSlowRetryDelay{400};
@@ -33,6 +35,10 @@
          kLeaseMargin;
 }
 
+Millis LeaseBound(Millis lease) {
+  return LatestLeaseEnd(TimePoint{}, 0, lease.count()) - TimePoint{};
+}
+
 WorkerLink::WorkerLink(WorkerGateway* gateway, TimerService* timers,
                        const Clock* clock, WorkerAddress address,
                        WorkerLinkOptions options, Listener listener)
@@ -49,6 +55,11 @@
 
 void WorkerLink::Close() { closed_ = true; }
 
+void WorkerLink::NoteEarlierLease(TimePoint until) {
+  earlier_lease_end_ = std::max(earlier_lease_end_, until);
+  if (lease_end_ != TimePoint{}) lease_end_ = std::max(lease_end_, until);
+}
+
 void WorkerLink::NoteIncarnation(std::int64_t born_unix_ms) {
   if (born_unix_ms <= born_unix_ms_) return;
   if (born_unix_ms_ == 0) {
@@ -66,7 +77,8 @@
       worker_clock_ms_ + elapsed + options_.lease.count();
   max_lease_worker_ms_ = std::max(max_lease_worker_ms_, deadline);
   lease_end_ = std::max(
-      lease_end_, LatestLeaseEnd(worker_clock_at_, worker_clock_ms_, deadline));
+      {lease_end_, earlier_lease_end_,
+       LatestLeaseEnd(worker_clock_at_, worker_clock_ms_, deadline)});
   WatchLease();
   return deadline;
 }
@@ -220,7 +232,8 @@
   max_lease_worker_ms_ = 0;
   // A start that reached the new incarnation has a lease computed from the
   // clock of the earlier one.
-  lease_end_ = clock_->Now() + options_.max_lease;
+  lease_end_ =
+      clock_->Now() + LeaseBound(options_.max_lease) + kStartInTransit;
   WatchLease();
   synced_ = false;
   settling_ = false;
--- a/unittests/Node/EndOfTermTest.cc
+++ b/unittests/Node/EndOfTermTest.cc
@@ -39,6 +39,36 @@
   }
 }
 
+// Guards against a duplicate execution: the next owner was not told that a
+// restarted worker may hold a longer lease than owners give.
+TEST(EndOfTermTest, ANodeTellsTheNextOwnerOfLongLeases) {
+  FleetSim sim;
+  // Idle instances are switched off otherwise.
+  sim.catalog.pools.erase("spare");
+  const std::string worker = sim.fleet.AddWorker("pool");
+  SimPeers peers(&sim.timers);
+  SimNode a(&sim, &peers, "a");
+  sim.Run(Millis(1000));
+  ASSERT_NE(a.agent->LocalOwner(), nullptr);
+  EXPECT_TRUE(a.agent->LocalOwner()->FindLongLeases().empty());
+  // Its answers show a later start than before.
+  sim.fleet.Find(worker)->born_at = sim.timers.Now();
+  sim.Run(Millis(1500));
+  const std::int64_t next = a.agent->LocalOwner()->Term() + 1;
+  const Json answer = a.agent->AnswerEndTerm({{"below", next}});
+  EXPECT_EQ(answer.at("ended"), true);
+  ASSERT_EQ(answer.at("long_leases").size(), 1U) << answer;
+  EXPECT_GT(answer.at("long_leases").at(worker).get<int>(), 8000);
+  // What is left of them, whenever it is asked.
+  sim.Run(Millis(2000));
+  const Json later = a.agent->AnswerEndTerm({{"below", next}});
+  EXPECT_EQ(later.at("long_leases").at(worker).get<int>(),
+            answer.at("long_leases").at(worker).get<int>() - 2000);
+  // Of a term that it did not hold it knows nothing.
+  EXPECT_FALSE(
+      a.agent->AnswerEndTerm({{"below", next + 1}}).contains("long_leases"));
+}
+
 TEST(EndOfTermTest, TheWordOfAnOwnerBeforeTheLastOneSaysNothingOfTheLastOne) {
   FleetSim sim;
   for (int i = 0; i < 3; ++i) sim.fleet.AddWorker("pool");
--- a/unittests/Node/SimNode.cc
+++ b/unittests/Node/SimNode.cc
@@ -113,6 +113,9 @@
   methods.On(PeerPaths::kStatus, [this](const Json&, PeerCallback done) {
     done(catalogs->Status());
   });
+  methods.On(PeerPaths::kEndTerm, [this](const Json& body, PeerCallback done) {
+    done(agent->AnswerEndTerm(body));
+  });
   peers->Attach(address, &methods);
   catalogs->Begin();
   agent->Begin();
--- a/unittests/Partition/FleetSim.cc
+++ b/unittests/Partition/FleetSim.cc
@@ -62,6 +62,7 @@
 
 void FleetSim::BeginTerm(bool close_former) {
   if (owner != nullptr) {
+    former_leases = owner->FindLongLeases();
     if (close_former) owner->Close();
     former_owners.push_back(owner);
   }
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -345,6 +345,8 @@
   Catalog catalog;
   std::shared_ptr<PartitionOwner> owner;
   std::vector<std::shared_ptr<PartitionOwner>> former_owners;
+  /// What the owner before the current one told of its leases when it ended.
+  LongLeases former_leases;
   /// The current owner can confirm its term.
   bool can_confirm_term = true;
 
--- a/unittests/Partition/IncompleteStateTest.cc
+++ b/unittests/Partition/IncompleteStateTest.cc
@@ -228,7 +228,7 @@
   sim.fleet.AddWorker("pool");
   sim.Run(Millis(500));
   sim.BeginTerm(/*close_former=*/true);
-  sim.owner->NoteEarlierOwnerStopped();
+  sim.owner->NoteEarlierOwnerStopped(sim.former_leases);
   sim.Run(Millis(6000));
   EXPECT_FALSE(deposed);
   EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
@@ -382,7 +382,7 @@
   ASSERT_EQ(sim.fleet.DoneTasks(kJob), 12);
   sim.fleet.AddWorker("pool");
   sim.BeginTerm();
-  sim.owner->NoteEarlierOwnerStopped();
+  sim.owner->NoteEarlierOwnerStopped(sim.former_leases);
   sim.Run(Millis(6000));
   sim.store.refused_prefixes.clear();
   sim.Run(Millis(4000));
--- a/unittests/Partition/SequenceTest.cc
+++ b/unittests/Partition/SequenceTest.cc
@@ -318,7 +318,7 @@
   void TakeOver() {
     const bool stopped = Pick(2) == 0;
     BeginTerm(/*close_former=*/stopped);
-    if (stopped) sim_.owner->NoteEarlierOwnerStopped();
+    if (stopped) sim_.owner->NoteEarlierOwnerStopped(sim_.former_leases);
   }
 
   void ClearFaults() {
--- a/unittests/Partition/TakeOverStaleStateTest.cc
+++ b/unittests/Partition/TakeOverStaleStateTest.cc
@@ -117,6 +117,92 @@
   EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
 }
 
+/// A worker's process was restarted at once under its id and has taken a task
+/// whose lease was computed from the clock of the incarnation before, so that
+/// it lasts as long as the worker allows. The owner has noticed the restart, and
+/// the directory shows it.
+class LongLeaseTest : public ::testing::Test {
+ protected:
+  /// Between the limit of the worker and the lease that owners give.
+  static constexpr Millis kOwnersLeaseIsOver{6000};
+
+  LongLeaseTest() {
+    SetUpFleet(&sim, 1);
+    worker = sim.fleet.AliveWorkerIds().front();
+    // The clock of the first incarnation is ahead by more than the limit.
+    sim.Run(Millis(12000));
+    Restart(&sim, worker, Millis(20));
+    sim.Submit(FleetSim::MakeJob(kJob, 1, 20000));
+    sim.Run(Millis(100));
+    sim.Run(Millis(1300));
+    Json entry = Json::parse(sim.store.Value("workers/" + worker));
+    entry["born"] = sim.fleet.Find(worker)->born_at.time_since_epoch().count();
+    sim.store.Put("workers/" + worker, entry.dump());
+    for (int i = 0; i < 2; ++i) sim.fleet.AddWorker("pool");
+    sim.Run(Millis(300));
+  }
+
+  void SetUp() override { ASSERT_EQ(WorkerRunning(&sim, kJob), worker); }
+  void TearDown() override {
+    EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
+    // The worker's limit is over.
+    sim.Run(Millis(6000));
+    EXPECT_EQ(sim.fleet.RunningTasks(kJob), 1);
+    EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
+  }
+
+  FleetSim sim;
+  std::string worker;
+};
+
+// Guards against a duplicate execution: the next owner waited only for the
+// lease that owners give.
+TEST_F(LongLeaseTest, TheNextOwnerWaitsForTheLongLeaseOfASilentWorker) {
+  sim.fleet.Find(worker)->fault = SimFault::kRequestLost;
+  sim.BeginTerm();
+  sim.owner->NoteEarlierOwnerStopped(sim.former_leases);
+  sim.Run(kOwnersLeaseIsOver);
+}
+
+// The same if the owner before does not say which leases it gave.
+TEST_F(LongLeaseTest, TheNextOwnerWaitsForLongLeasesThatItIsNotToldOf) {
+  sim.fleet.Find(worker)->fault = SimFault::kRequestLost;
+  sim.BeginTerm();
+  sim.owner->NoteEarlierOwnerStopped(std::nullopt);
+  sim.Run(kOwnersLeaseIsOver);
+}
+
+// The same if the worker was read before it fell silent: the lease of the next
+// owner does not shorten the earlier one.
+TEST_F(LongLeaseTest, ALongLeaseOutlastsThatOfTheNextOwner) {
+  sim.BeginTerm();
+  sim.owner->NoteEarlierOwnerStopped(sim.former_leases);
+  sim.Run(Millis(500));
+  sim.fleet.Find(worker)->fault = SimFault::kRequestLost;
+  sim.Run(kOwnersLeaseIsOver);
+}
+
+// The same over two changes of the owner.
+TEST_F(LongLeaseTest, AnOwnerThatDidNotReadTheWorkerPassesItsLongLeaseOn) {
+  sim.fleet.Find(worker)->fault = SimFault::kRequestLost;
+  for (int i = 0; i < 2; ++i) {
+    sim.BeginTerm();
+    sim.owner->NoteEarlierOwnerStopped(sim.former_leases);
+    sim.Run(Millis(500));
+  }
+  sim.store.Remove("workers/" + worker);
+  sim.Run(kOwnersLeaseIsOver - Millis(1000));
+}
+
+// The same if the worker's directory entry has expired meanwhile.
+TEST_F(LongLeaseTest, AWorkerWithALongLeaseAndNoEntryIsNotTakenForGone) {
+  sim.fleet.Find(worker)->fault = SimFault::kRequestLost;
+  sim.BeginTerm();
+  sim.owner->NoteEarlierOwnerStopped(sim.former_leases);
+  sim.store.Remove("workers/" + worker);
+  sim.Run(kOwnersLeaseIsOver);
+}
+
 TEST(TakeOverStaleStateTest,
      AStoredEndOfAnEarlierIncarnationAcknowledgesNoLaterEnd) {
   FleetSim sim;
