Decide about failed runs only while the queue is configured

Cause: the number of attempts was looked up when the run ended, and taken as 1 where the configuration did not have the queue.

Fix: failures are counted and stored while the queue is away. Whether a task has attempts left is decided when a configuration has the queue: at its next end, when a configuration comes into force, or when the next owner has loaded its records. On a related path a lasting task, or a slow run, is not stopped to start elsewhere while nothing can start.

--- a/include/basilusher/Jobs/JobTable.h
+++ b/include/basilusher/Jobs/JobTable.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -167,9 +168,12 @@
 /// Returns an active task to the waiting state.
 void Requeue(JobRecord* job, const TaskId& id);
 /// Applies the reported end of a run. `max_attempts` failed runs of one task
-/// fail the job.
+/// fail the job; while that number is not known, failures are only counted.
 EndEffect ApplyEnd(JobRecord* job, const EndedTask& end,
-                   const std::string& worker, int max_attempts);
+                   const std::string& worker, std::optional<int> max_attempts);
+/// True if a waiting task has failed `max_attempts` times or more, so that it
+/// may not start again.
+bool HasExhaustedTask(const JobRecord& job, int max_attempts);
 /// Calls `visit` for each active task.
 void ForEachActive(
     JobRecord* job,
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -179,6 +179,9 @@
   void StopTask(JobRecord* job, const TaskId& id, TaskRecord* task);
 
   void OnJobEnded(JobRecord* job);
+  /// Fails the jobs whose tasks have no attempts left by the present
+  /// configuration: runs may have failed while it did not have their queue.
+  void FailExhaustedJobs();
 
   // OwnerCrashes.cc: crashes of workers as evidence against tasks.
   static Millis WorkedFor(const WorkerState& worker, const TaskRecord& task);
@@ -390,6 +393,9 @@
   void Count(const char* name, std::int64_t n = 1);
   void Observe(const char* name, Millis value);
   const QueueConfig* QueueOf(const JobRecord& job) const;
+  /// Failed runs of one task after which the job fails; nothing while the job's
+  /// queue is not in the configuration.
+  std::optional<int> MaxAttempts(const JobRecord& job) const;
   WorkerState* FindWorker(const std::string& id);
 
   OwnerDependencies deps_;
--- a/lib/Jobs/JobTable.cc
+++ b/lib/Jobs/JobTable.cc
@@ -181,7 +181,7 @@
 }
 
 EndEffect ApplyEnd(JobRecord* job, const EndedTask& end,
-                   const std::string& worker, int max_attempts) {
+                   const std::string& worker, std::optional<int> max_attempts) {
   StepRecord* step = FindStep(job, end.task);
   if (step == nullptr) return EndEffect::kIgnored;
   TaskRecord* task = TaskIn(step, end.task);
@@ -210,13 +210,31 @@
     task->run = std::max(task->run, end.run);
     Deactivate(step, end.task, TaskState::kWaiting);
   }
-  if (is_new_failure && counter->failures >= max_attempts) {
+  if (is_new_failure && max_attempts && counter->failures >= *max_attempts) {
     job->state = JobState::kFailed;
     return EndEffect::kJobFailed;
   }
   return current || is_new_failure ? EndEffect::kRequeued : EndEffect::kIgnored;
 }
 
+bool HasExhaustedTask(const JobRecord& job, int max_attempts) {
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      if (job.spec.steps[s].lasting) continue;
+      const std::vector<TaskRecord>& tasks = occurrence.steps[s].tasks;
+      // In a gang the first member's record holds the failures of all.
+      if (std::any_of(tasks.begin(), tasks.end(),
+                      [max_attempts](const TaskRecord& task) {
+                        return task.state == TaskState::kWaiting &&
+                               task.failures >= max_attempts;
+                      })) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 void ForEachActive(
     JobRecord* job,
     const std::function<void(const TaskId&, TaskRecord*)>& visit) {
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -33,6 +33,12 @@
   return it == catalog_->queues.end() ? nullptr : &it->second;
 }
 
+std::optional<int> PartitionOwner::MaxAttempts(const JobRecord& job) const {
+  const QueueConfig* queue = QueueOf(job);
+  if (queue == nullptr) return std::nullopt;
+  return std::max(1, queue->max_attempts);
+}
+
 void PartitionOwner::Count(const char* name, std::int64_t n) {
   if (deps_.counters != nullptr) deps_.counters->Add(name, n);
 }
--- a/lib/Partition/OwnerPools.cc
+++ b/lib/Partition/OwnerPools.cc
@@ -54,6 +54,8 @@
 
 bool PartitionOwner::HasRoomElsewhere(const JobRecord& job, const TaskId& id,
                                       const WorkerState& from) {
+  // Nothing starts while the queue is not in the configuration.
+  if (QueueOf(job) == nullptr) return false;
   const StepSpec& spec = job.spec.steps[static_cast<std::size_t>(id.step)];
   const StepRecord& step = job.occurrences.at(id.occurrence)
                                .steps[static_cast<std::size_t>(id.step)];
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -242,6 +242,7 @@
             {"unread", unread_workers_.size()},
             {"after_ms", (deps_.clock->Now() - began_at_).count()}});
   InheritLostRuns();
+  FailExhaustedJobs();
   // Reports can be matched to jobs only now that the jobs are known.
   for (const auto& [id, worker] : workers_) worker->link->Begin();
   ShortenOrphanedRunsWait();
@@ -493,7 +494,23 @@
 
 void PartitionOwner::SetCatalog(std::shared_ptr<const Catalog> catalog) {
   catalog_ = std::move(catalog);
+  if (loaded_) FailExhaustedJobs();
   ScheduleDispatch();
 }
 
+void PartitionOwner::FailExhaustedJobs() {
+  std::vector<JobRecord*> exhausted;
+  for (const auto& [id, job] : jobs_.All()) {
+    const std::optional<int> attempts = MaxAttempts(*job);
+    if (!IsFinal(job->state) && attempts &&
+        HasExhaustedTask(*job, *attempts)) {
+      exhausted.push_back(job.get());
+    }
+  }
+  for (JobRecord* job : exhausted) {
+    job->state = JobState::kFailed;
+    OnJobEnded(job);
+  }
+}
+
 }  // namespace basilusher
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -328,7 +328,6 @@
   }
   const StepSpec& step =
       job->spec.steps[static_cast<std::size_t>(end.task.step)];
-  const QueueConfig* queue = QueueOf(*job);
   if (current && end.kind == EndKind::kDone && step.estimate_ms > 0 &&
       task->started_at != TimePoint{}) {
     durations_[job->spec.queue].AddSample(
@@ -340,8 +339,7 @@
                                           end.kind == EndKind::kFailed, now);
   }
   const std::vector<HeldRun> held_runs = RunsEndedWith(end.task, step);
-  const int attempts = queue == nullptr ? 1 : std::max(1, queue->max_attempts);
-  const EndEffect effect = ApplyEnd(job, end, id, attempts);
+  const EndEffect effect = ApplyEnd(job, end, id, MaxAttempts(*job));
   if (effect == EndEffect::kIgnored) return;
   task = jobs_.FindTask(end.task);
   LogEvent(LogLevel::kInfo, "run-ended",
