Keep a workspace's limit while it is not configured

Cause: WithinCap() took a workspace that the present configuration does not have for one without a limit.

Fix: the owner keeps the limit of the last configuration that had the workspace. An owner that has never seen one knows no limit, as before.

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -178,6 +178,7 @@
   void ReturnToQueue(JobRecord* job, const TaskId& id);
   void StopTask(JobRecord* job, const TaskId& id, TaskRecord* task);
 
+  void UseCatalog(std::shared_ptr<const Catalog> catalog);
   void OnJobEnded(JobRecord* job);
   /// Fails the jobs whose tasks have no attempts left by the present
   /// configuration: runs may have failed while it did not have their queue.
@@ -409,6 +410,8 @@
   std::map<std::string, FinalRecord> finals_;
   std::map<std::string, std::unique_ptr<WorkerState>> workers_;
   std::map<std::string, Resources> workspace_used_;
+  /// Limit of each workspace by the last configuration that had it.
+  std::map<std::string, Resources> workspace_caps_;
   std::map<std::string, Resources> workspace_orphaned_;
   std::map<std::string, DurationEstimate> durations_;
   /// By a number that rises with each of them.
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -259,15 +259,15 @@
 
 bool PartitionOwner::WithinCap(const JobRecord& job,
                                const Resources& need) const {
-  const auto workspace = catalog_->workspaces.find(job.spec.workspace);
-  if (workspace == catalog_->workspaces.end()) return true;
+  const auto limit = workspace_caps_.find(job.spec.workspace);
+  if (limit == workspace_caps_.end()) return true;
   Resources used;
   const auto it = workspace_used_.find(job.spec.workspace);
   if (it != workspace_used_.end()) used = it->second;
   const auto orphaned = workspace_orphaned_.find(job.spec.workspace);
   if (orphaned != workspace_orphaned_.end()) used += orphaned->second;
   used += need;
-  const Resources& cap = workspace->second.cap;
+  const Resources& cap = limit->second;
   return (cap.cpu_millis == 0 || used.cpu_millis <= cap.cpu_millis) &&
          (cap.memory_mb == 0 || used.memory_mb <= cap.memory_mb) &&
          (cap.accelerators == 0 || used.accelerators <= cap.accelerators);
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -120,7 +120,7 @@
 }
 
 void PartitionOwner::Begin(std::shared_ptr<const Catalog> catalog) {
-  catalog_ = std::move(catalog);
+  UseCatalog(std::move(catalog));
   began_at_ = deps_.clock->Now();
   loading_since_ = began_at_;
   orphaned_runs_until_ = began_at_ + options_.earlier_owner_grace +
@@ -493,7 +493,7 @@
 }
 
 void PartitionOwner::SetCatalog(std::shared_ptr<const Catalog> catalog) {
-  catalog_ = std::move(catalog);
+  UseCatalog(std::move(catalog));
   if (loaded_) FailExhaustedJobs();
   ScheduleDispatch();
 }
@@ -501,6 +501,14 @@
 void PartitionOwner::FailExhaustedJobs() {
   std::vector<JobRecord*> exhausted;
   for (const auto& [id, job] : jobs_.All()) {
+void PartitionOwner::UseCatalog(std::shared_ptr<const Catalog> catalog) {
+  catalog_ = std::move(catalog);
+  if (catalog_ == nullptr) return;
+  for (const auto& [name, workspace] : catalog_->workspaces) {
+    workspace_caps_[name] = workspace.cap;
+  }
+}
+
     const std::optional<int> attempts = MaxAttempts(*job);
     if (!IsFinal(job->state) && attempts &&
         HasExhaustedTask(*job, *attempts)) {
--- a/unittests/Partition/QueueRemovedTest.cc
+++ b/unittests/Partition/QueueRemovedTest.cc
@@ -96,6 +96,21 @@
   EXPECT_EQ(sim.fleet.StartedRuns(), 1);
 }
 
+// A workspace without a configuration counted as one without a limit.
+TEST_F(QueueRemovedTest, AWorkspaceKeepsItsLimitWhileItIsNotConfigured) {
+  JobSpec job = FleetSim::MakeJob(kJob, 6, kTaskMs);
+  sim.catalog.workspaces.at("team").cap = {.cpu_millis = 4000};
+  Begin(job, /*attempts=*/3);
+  ASSERT_EQ(sim.fleet.RunningTasks(kJob), 2);
+  sim.catalog.workspaces.clear();
+  RestoreQueue();
+  for (int i = 0; i < 200; ++i) {
+    sim.Run(Millis(10));
+    ASSERT_LE(sim.fleet.RunningTasks(kJob), 2);
+  }
+  EXPECT_EQ(sim.StateOf(kJob), JobState::kSucceeded);
+}
+
 // It was stopped to run elsewhere, and nothing starts without the queue.
 TEST_F(QueueRemovedTest, ALastingTaskIsNotEvictedMeanwhile) {
   JobSpec job = FleetSim::MakeJob(kJob, 1, 0);
