Take no odd directory entry for a worker

An entry with a port of 0 or 65536, with a capacity of 1e30, with a start in the far future or with an address of 60,000 bytes was taken for a worker, stored in the record that all workers share, and called for ever. Numbers were wrapped or cut to 64 bits, so that sums over workers overflow.

Cause: the library's getters convert any number, and nothing checked ids, addresses, names and sizes.

--- a/include/basilusher/Net/IoLoop.h
+++ b/include/basilusher/Net/IoLoop.h
@@ -4,11 +4,16 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "basilusher/Support/Clock.h"
 
 namespace basilusher {
 
+/// True if `address` is an IPv4 address and a port, as in "10.0.0.1:80".
+/// Thread-safe.
+bool IsEndpoint(const std::string& address);
+
 /// Calls a function later on the same thread.
 class TimerService {
  public:
--- a/lib/Net/IoLoop.cc
+++ b/lib/Net/IoLoop.cc
@@ -3,8 +3,9 @@
 
 #include <signal.h>
 
+#include <charconv>
 #include <cstdint>
-#include <cstdlib>
+#include <optional>
 
 #include "IoLoopImpl.h"
 #include "basilusher/Support/Error.h"
@@ -18,24 +19,37 @@
 /// trip, below the tasks' leases.
 constexpr unsigned int kUserTimeoutMs = 3000;
 
-}  // namespace
-
-asio::ip::tcp::endpoint ParseEndpoint(const std::string& address) {
+std::optional<asio::ip::tcp::endpoint> TryEndpoint(const std::string& address) {
   const std::size_t colon = address.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
   boost::system::error_code ec;
-  asio::ip::address ip;
-  if (colon != std::string::npos) {
-    ip = asio::ip::make_address_v4(address.substr(0, colon), ec);
+  const asio::ip::address_v4 ip =
+      asio::ip::make_address_v4(address.substr(0, colon), ec);
+  std::uint16_t port = 0;
+  const char* end = address.data() + address.size();
+  const std::from_chars_result result =
+      std::from_chars(address.data() + colon + 1, end, port);
+  // The library's parser stops at a zero byte.
+  const bool whole = !ec && ip.to_string() == address.substr(0, colon);
+  if (!whole || result.ec != std::errc() || result.ptr != end || port == 0) {
+    return std::nullopt;
   }
-  const std::int64_t port =
-      colon == std::string::npos
-          ? 0
-          : std::strtol(address.c_str() + colon + 1, nullptr, 10);
-  if (ec || port <= 0 || port > 65535) {
+  return asio::ip::tcp::endpoint(ip, port);
+}
+
+}  // namespace
+
+asio::ip::tcp::endpoint ParseEndpoint(const std::string& address) {
+  const std::optional<asio::ip::tcp::endpoint> endpoint = TryEndpoint(address);
+  if (!endpoint) {
     throw Error(ResultCode::kTransportFailed,
                 "malformed address '" + address + "'");
   }
-  return {ip, static_cast<std::uint16_t>(port)};
+  return *endpoint;
+}
+
+bool IsEndpoint(const std::string& address) {
+  return TryEndpoint(address).has_value();
 }
 
 void TuneSocket(asio::ip::tcp::socket* socket) {
