Store no worker without an id

Cause: the owner stored the entry's address in the record of workers under the empty key, where the record has the last fully read term. The next owner read that as a number; the library threw.

Fix: an entry without an id names no worker.

--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -32,7 +32,7 @@
 constexpr Millis kDirectoryGather{150};
 
 /// Key, in the record of workers, of the last owner that had read all of them.
-/// Worker ids are never empty.
+/// No worker has an empty id: see OnDirectory().
 constexpr const char* kFullyReadTermKey = "";
 
 std::string EncodeFinal(const JobRecord& job) {
@@ -214,10 +214,13 @@
             : Json::parse(answer.items.front().value, nullptr, false);
     if (document.is_object()) {
       self->fully_read_term_ =
-          document.value(kFullyReadTermKey, std::int64_t{0});
-      for (const auto& [id, address] : document.items()) {
-        if (!address.is_string()) continue;
-        WorkerState* worker = self->AddWorker(id, address.get<std::string>());
+          FieldOr(document, kFullyReadTermKey, std::int64_t{0});
+      for (const auto& [id, value] : document.items()) {
+        const std::string address =
+            value.is_string() ? value.get<std::string>() : std::string();
+        // An address that nothing listens on names no worker to read.
+        if (id == kFullyReadTermKey || address.empty()) continue;
+        WorkerState* worker = self->AddWorker(id, address);
         worker->recorded = true;
         self->unread_workers_.insert(id);
       }
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -68,10 +68,13 @@
 }
 
 void PartitionOwner::OnDirectory(const StoredItem& item) {
-  const std::optional<WorkerEntry> entry =
-      item.removed ? std::nullopt
-                   : deps_.formats->DecodeWorker(item.key, item.value);
   const std::string id = item.key.substr(deps_.formats->WorkerPrefix().size());
+  // Another writer may leave an entry without an id; the record of workers has
+  // no place for it.
+  const std::optional<WorkerEntry> entry =
+      item.removed || id.empty()
+          ? std::nullopt
+          : deps_.formats->DecodeWorker(item.key, item.value);
   if (!entry) {
     WorkerState* worker = FindWorker(id);
     if (worker == nullptr || !worker->listed) return;
