Read stored records that hold something else without ending

Found by looking for the cause of the odd entries elsewhere: a final state, a wave's record or a control record (term, owner, node) with a field of another type ended each node that read it; so did a job nested deeply in CBOR (stack overflow), with two billion tasks or after a step that does not exist.

Cause: typed getters throw, and what throws in a callback of the loop ends the process. The library decodes CBOR recursively.

Fix: such fields are read with FieldOr(); CBOR has a limit of nesting; a stored job has to be one that a front end accepts; a watcher goes on after a record that its listener cannot handle.

--- a/lib/Jobs/JobCodec.cc
+++ b/lib/Jobs/JobCodec.cc
@@ -63,7 +63,7 @@
 template <typename Decode>
 auto DecodeOrThrow(const std::string& bytes, Decode decode) {
   try {
-    return decode(Json::from_cbor(bytes));
+    return decode(DecodeCbor(bytes));
   } catch (const std::exception& error) {
     throw Error(ResultCode::kStoreConflict,
                 std::string("stored job record is malformed: ") + error.what());
@@ -189,6 +189,8 @@
       spec.start_at_unix_ms = in.at("x").at(1).get<std::int64_t>();
       spec.interval_ms = in.at("x").at(2).get<std::int64_t>();
     }
+    const std::string problem = ValidateJob(spec);
+    if (!problem.empty()) throw Error(ResultCode::kStoreConflict, problem);
     return spec;
   });
 }
--- a/lib/Node/NodeAgent.cc
+++ b/lib/Node/NodeAgent.cc
@@ -29,6 +29,8 @@
 constexpr Millis kStopFlushLimit{1500};
 constexpr Millis kStopPoll{20};
 constexpr Millis kEndTermTimeout{400};
+/// Longest lease of a worker that a peer may report.
+constexpr std::int64_t kMaxLeaseLeftMs = 600000;
 
 Json EncodeLongLeases(const LongLeases& leases) {
   Json out = Json::object();
@@ -41,8 +43,11 @@
   if (field == answer.end() || !field->is_object()) return std::nullopt;
   LongLeases leases;
   for (const auto& [worker, left] : field->items()) {
-    if (!left.is_number_integer()) return std::nullopt;
-    leases[worker] = Millis(left.get<std::int64_t>());
+    const std::optional<std::int64_t> left_ms = IntegerOf(left);
+    if (!left_ms || *left_ms < 0 || *left_ms > kMaxLeaseLeftMs) {
+      return std::nullopt;
+    }
+    leases[worker] = Millis(*left_ms);
   }
   return leases;
 }
@@ -138,16 +143,17 @@
   const Json document =
       item.removed ? Json() : Json::parse(item.value, nullptr, false);
   if (item.key == keys.term) {
-    term_ = document.is_object() ? document.value("term", std::int64_t{0}) : 0;
+    term_ = FieldOr(document, "term", std::int64_t{0});
     term_key_revision_ = item.revision;
   } else if (item.key == keys.owner) {
     if (!owner_view_.node.empty()) earlier_owner_ = owner_view_;
     owner_view_ = {};
     if (document.is_object()) {
-      owner_view_ = {.node = document.value("node", ""),
-                     .address = document.value("address", ""),
-                     .incarnation = document.value("incarnation", ""),
-                     .term = document.value("term", std::int64_t{0}),
+      owner_view_ = {.node = FieldOr(document, "node", std::string()),
+                     .address = FieldOr(document, "address", std::string()),
+                     .incarnation =
+                         FieldOr(document, "incarnation", std::string()),
+                     .term = FieldOr(document, "term", std::int64_t{0}),
                      .revision = item.revision};
       LogEvent(LogLevel::kInfo, "owner",
                {{"node", owner_view_.node}, {"term", owner_view_.term}});
@@ -159,8 +165,8 @@
     const std::string node = item.key.substr(keys.node_prefix.size());
     if (node == options_.node) return;
     if (document.is_object()) {
-      peers_[node] = document.value("address", "");
-      peer_strengths_[node] = document.value("strength", 0.0);
+      peers_[node] = FieldOr(document, "address", std::string());
+      peer_strengths_[node] = FieldOr(document, "strength", 0.0);
     } else {
       peers_.erase(node);
       peer_strengths_.erase(node);
@@ -229,9 +235,9 @@
         if (item.key != keys.owner || item.revision == 0) continue;
         const Json holder = Json::parse(item.value, nullptr, false);
         // A try whose answer was lost was done.
-        if (holder.is_object() &&
-            holder.value("incarnation", "") == self->options_.incarnation &&
-            holder.value("term", std::int64_t{0}) == term &&
+        if (FieldOr(holder, "incarnation", std::string()) ==
+                self->options_.incarnation &&
+            FieldOr(holder, "term", std::int64_t{0}) == term &&
             lease == self->lease_) {
           self->OnElected(term, item.revision);
           return;
@@ -285,7 +291,7 @@
       kEndTermTimeout,
       [self = shared_from_this(), owner, earlier](std::optional<Json> answer) {
         if (self->owner_ != owner) return;
-        if (answer && answer->value("ended", false)) {
+        if (answer && FieldOr(*answer, "ended", false)) {
           owner->NoteEarlierOwnerStopped(DecodeLongLeases(*answer));
           return;
         }
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -69,11 +69,11 @@
 
 std::optional<JobStatus> DecodeFinal(const std::string& bytes) {
   const Json document = Json::parse(bytes, nullptr, false);
-  if (!document.is_object()) return std::nullopt;
   const std::optional<JobState> state =
-      ValueOf(kJobStateNames, document.value("s", std::string()));
+      ValueOf(kJobStateNames, FieldOr(document, "s", std::string()));
   if (!state) return std::nullopt;
-  return JobStatus{.state = *state, .queue = document.value("q", "")};
+  return JobStatus{.state = *state,
+                   .queue = FieldOr(document, "q", std::string())};
 }
 
 }  // namespace
@@ -501,9 +501,6 @@
   ScheduleDispatch();
 }
 
-void PartitionOwner::FailExhaustedJobs() {
-  std::vector<JobRecord*> exhausted;
-  for (const auto& [id, job] : jobs_.All()) {
 void PartitionOwner::UseCatalog(std::shared_ptr<const Catalog> catalog) {
   catalog_ = std::move(catalog);
   if (catalog_ == nullptr) return;
@@ -512,6 +509,9 @@
   }
 }
 
+void PartitionOwner::FailExhaustedJobs() {
+  std::vector<JobRecord*> exhausted;
+  for (const auto& [id, job] : jobs_.All()) {
     const std::optional<int> attempts = MaxAttempts(*job);
     if (!IsFinal(job->state) && attempts &&
         HasExhaustedTask(*job, *attempts)) {
--- a/lib/Partition/OwnerWaves.cc
+++ b/lib/Partition/OwnerWaves.cc
@@ -50,12 +50,14 @@
           const Json document =
               Json::parse(answer.items.front().value, nullptr, false);
           if (document.is_object()) {
-            for (const Json& id : document.value("done", Json::array())) {
-              progress.done.insert(id.get<std::string>());
+            if (document.contains("done")) {
+              for (const Json& id : document.at("done")) {
+                if (id.is_string()) progress.done.insert(id);
+              }
             }
-            progress.finished = document.value("finished", false);
+            progress.finished = FieldOr(document, "finished", false);
             const std::int64_t begun =
-                document.value("begun_unix_ms", WallMicros() / 1000);
+                FieldOr(document, "begun_unix_ms", WallMicros() / 1000);
             const std::int64_t age =
                 std::max<std::int64_t>(0, WallMicros() / 1000 - begun);
             progress.begun_unix_ms = begun;
--- a/lib/Store/StoreWatcher.cc
+++ b/lib/Store/StoreWatcher.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <set>
 
+#include "basilusher/Support/Log.h"
+
 namespace basilusher {
 namespace {
 
@@ -83,7 +85,13 @@
     if (known >= item.revision) return;
     known = item.revision;
   }
-  listener_.on_item(item);
+  try {
+    listener_.on_item(item);
+  } catch (const std::exception& error) {
+    // The others hold.
+    LogEvent(LogLevel::kError, "record-not-handled",
+             {{"key", item.key}, {"error", error.what()}});
+  }
 }
 
 void StoreWatcher::List(std::int64_t round) {
