--- a/lib/Node/AdviceRelay.cc
+++ b/lib/Node/AdviceRelay.cc
@@ -1,6 +1,8 @@
 // Questions to the advisor, directly and through peers.
 #include "basilusher/Node/AdviceRelay.h"
 
+#include "basilusher/Support/Log.h"
+
 namespace basilusher {
 namespace {
 
@@ -15,10 +17,15 @@
 AdviceAnswer DecodeAdvice(const std::optional<Json>& in) {
   if (!in || !in->contains("allowed")) return {};
   AdviceAnswer answer{.answered = true,
-                      .valid_ms = in->value("valid_ms", std::int64_t{0})};
-  for (const Json& row : in->at("allowed")) {
-    answer.allowed.emplace_back(row.at(0).get<std::string>(),
-                                row.at(1).get<std::string>());
+                      .valid_ms = FieldOr(*in, "valid_ms", std::int64_t{0})};
+  try {
+    for (const Json& row : in->at("allowed")) {
+      answer.allowed.emplace_back(row.at(0).get<std::string>(),
+                                  row.at(1).get<std::string>());
+    }
+  } catch (const Json::exception& error) {
+    LogEvent(LogLevel::kError, "advice-malformed", {{"error", error.what()}});
+    return {};
   }
   return answer;
 }
--- a/lib/Node/CancellationNotifier.cc
+++ b/lib/Node/CancellationNotifier.cc
@@ -65,7 +65,7 @@
                  if (answer) {
                    notice->confirmed_term =
                        std::max(notice->confirmed_term,
-                                answer->value("term", std::int64_t{0}));
+                                FieldOr(*answer, "term", std::int64_t{0}));
                  }
                  self->TellOwnerLater(notice);
                });
--- a/lib/Node/CatalogKeeper.cc
+++ b/lib/Node/CatalogKeeper.cc
@@ -160,9 +160,9 @@
 void CatalogKeeper::OnPeerStatus(const std::string& node,
                                  const std::string& address, TimePoint asked_at,
                                  const Json& status) {
-  const bool fresh = status.value("fresh", false);
+  const bool fresh = FieldOr(status, "fresh", false);
   reports_[node] = {.heard_at = asked_at, .fresh = fresh, .address = address};
-  const std::int64_t version = status.value("version", std::int64_t{0});
+  const std::int64_t version = FieldOr(status, "version", std::int64_t{0});
   const std::int64_t known = catalog_ == nullptr ? 0 : catalog_->version;
   if (version > known) {
     Fetch(address);
@@ -175,7 +175,8 @@
   peers_->Call(address, PeerPaths::kCatalog, Json::object(), kPeerTimeout,
                [self = shared_from_this()](std::optional<Json> answer) {
                  if (answer) {
-                   self->Apply(answer->value("bytes", std::string()), "peer");
+                   self->Apply(FieldOr(*answer, "bytes", std::string()),
+                               "peer");
                  }
                });
 }
--- a/lib/Node/JobFront.cc
+++ b/lib/Node/JobFront.cc
@@ -25,12 +25,13 @@
 }
 
 FindAnswer DecodeFound(const Json& in) {
-  if (!in.value("known", false)) return {.result = FindResult::kAbsent};
+  if (!FieldOr(in, "known", false)) return {.result = FindResult::kAbsent};
   const std::optional<JobState> state =
-      ValueOf(kJobStateNames, in.value("state", std::string()));
+      ValueOf(kJobStateNames, FieldOr(in, "state", std::string()));
   if (!state) return {.result = FindResult::kUnavailable};
   return {.result = FindResult::kFound,
-          .job = {.state = *state, .queue = in.value("queue", "")}};
+          .job = {.state = *state,
+                  .queue = FieldOr(in, "queue", std::string())}};
 }
 
 }  // namespace
@@ -243,7 +244,7 @@
         submission->try_pending = false;
         const std::optional<SubmitResult> result =
             answer ? ValueOf(kSubmitResultNames,
-                             answer->value("result", std::string()))
+                             FieldOr(*answer, "result", std::string()))
                    : std::nullopt;
         if (result == SubmitResult::kAccepted) {
           return self->Finish(submission, *result);
@@ -337,12 +338,11 @@
           const Json record =
               Json::parse(b.items.front().value, nullptr, false);
           const std::optional<JobState> state =
-              record.is_object()
-                  ? ValueOf(kJobStateNames, record.value("s", ""))
-                  : std::nullopt;
+              ValueOf(kJobStateNames, FieldOr(record, "s", std::string()));
           if (!state) return done({.result = FindResult::kUnavailable});
           done({.result = FindResult::kFound,
-                .job = {.state = *state, .queue = record.value("q", "")}});
+                .job = {.state = *state,
+                        .queue = FieldOr(record, "q", std::string())}});
         });
   });
 }
@@ -361,7 +361,7 @@
                      [self = shared_from_this(), job, deadline,
                       done = std::move(done)](std::optional<Json> answer) {
                        if (answer && answer->contains("known")) {
-                         done(answer->value("known", false)
+                         done(FieldOr(*answer, "known", false)
                                   ? CancelResult::kDone
                                   : CancelResult::kAbsent);
                          return;
@@ -421,8 +421,10 @@
   ports_.peers->Call(remote->address, PeerPaths::kPending, {{"queue", queue}},
                      kOwnerTimeout,
                      [done = std::move(done)](std::optional<Json> answer) {
-                       if (!answer) return done(std::nullopt);
-                       done(answer->value("pending", 0));
+                       const int pending =
+                           answer ? FieldOr(*answer, "pending", -1) : -1;
+                       if (pending < 0) return done(std::nullopt);
+                       done(pending);
                      });
 }
 
--- a/lib/Node/Peers.cc
+++ b/lib/Node/Peers.cc
@@ -1,6 +1,8 @@
 // Calls between nodes.
 #include "basilusher/Node/Peers.h"
 
+#include "basilusher/Support/Log.h"
+
 namespace basilusher {
 namespace {
 
@@ -73,7 +75,9 @@
       }
       respond({.status = kStatusOk, .body = answer->dump()});
     });
-  } catch (const Json::exception&) {
+  } catch (const std::exception& error) {
+    LogEvent(LogLevel::kError, "peer-request-malformed",
+             {{"method", request.target}, {"error", error.what()}});
     respond({.status = kStatusBadRequest, .body = {}});
   }
 }
