--- a/lib/Support/Log.cc
+++ b/lib/Support/Log.cc
@@ -57,8 +57,7 @@
   line["level"] = NameOf(kLevelNames, level);
   line["event"] = event;
   line["process"] = log->process;
-  log->sink->Write(level,
-                   line.dump(-1, ' ', false, Json::error_handler_t::replace));
+  log->sink->Write(level, DumpLossy(line));
 }
 
 void LogSpan(const Span& span) {
