Start nothing on a worker that may have been restarted

Cause: a start is sent by the clock of the life that the link knows. After a failed poll the link went on starting tasks, and renewing leases with each start, until a second poll had failed. A new life that took such a start held a lease of up to 10 s, which the owner counted with only from its next report on.

Fix: after one failed poll no task starts until a poll that was sent since has been answered; the retry does not wait for an end. The answer to a start states the worker's clock: one that is behind all that the known life can show tells of a restart at once, and the lease that it gives is known exactly.

Evidence: UnnoticedRestartTest.NoTaskStartsBetweenAFailedPollAndTheNextOne: a lease of 10,000 ms on, of 4,100 ms at most now.

--- a/include/basilusher/Jobs/Interfaces.h
+++ b/include/basilusher/Jobs/Interfaces.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -94,6 +95,12 @@
     {CommandResult::kUnknown, "unknown"},
 }};
 
+struct StartAnswer {
+  CommandResult result = CommandResult::kUnknown;
+  /// The worker's clock, as the answer states it; absent if it does not.
+  std::optional<std::int64_t> worker_clock_ms;
+};
+
 /// How a run ended.
 enum class EndKind { kDone, kFailed, kStopped, kLapsed, kBroken, kAlone };
 
@@ -156,7 +163,7 @@
  public:
   virtual ~WorkerGateway() = default;
   virtual void Start(const WorkerAddress& worker, const StartCommand& command,
-                     std::function<void(CommandResult)> done) = 0;
+                     std::function<void(const StartAnswer&)> done) = 0;
   virtual void Stop(const WorkerAddress& worker, const TaskId& task,
                     std::int64_t run, std::int64_t fence,
                     std::function<void(CommandResult)> done) = 0;
--- a/include/basilusher/Partition/WorkerLink.h
+++ b/include/basilusher/Partition/WorkerLink.h
@@ -116,9 +116,9 @@
   void Acknowledge(int incarnation, std::int64_t number);
 
   /// True if the present incarnation has answered since it began or was last
-  /// lost, no command's outcome is in doubt, and polls have not failed twice in
-  /// a row.
-  bool Ready() const { return synced_ && !settling_ && !silent_; }
+  /// lost, no command's outcome is in doubt, and nothing says since that it may
+  /// have ended: the lease of a start is computed from its clock.
+  bool Ready() const { return synced_ && !settling_ && !InDoubt(); }
   bool Synced() const { return synced_; }
   /// True if consecutive polls have failed.
   bool Silent() const { return silent_; }
@@ -142,6 +142,15 @@
   void OnAnswer(const HoldAnswer& answer, TimePoint sent_at,
                 std::int64_t fence);
   void OnPollFailed();
+  /// True if the worker may have been restarted since its last report.
+  bool InDoubt() const { return doubted_at_ != TimePoint{}; }
+  /// Earliest reading of the present incarnation's clock from now on. Zero if
+  /// the clock is not known.
+  std::int64_t EarliestClockMs() const;
+  /// Compares the clock that answered a start with the earliest reading that
+  /// the present incarnation's could have had when the start was sent.
+  void OnStartAnswered(const StartAnswer& answer, std::int64_t lease_worker_ms,
+                       std::int64_t earliest_clock_ms);
   void OnCommandResult(CommandResult result, std::int64_t fence);
   void BeginSettling();
   void BeginIncarnation(std::int64_t born_unix_ms, const char* reason);
@@ -181,6 +190,9 @@
   std::int64_t max_lease_worker_ms_ = 0;
   TimePoint lease_end_{};
   TimePoint earlier_lease_end_{};
+  /// When a poll failed, or a start was answered by the clock of another
+  /// incarnation. Zero if a poll has been answered that was sent since.
+  TimePoint doubted_at_{};
   TimePoint last_answer_{};
   int failed_polls_ = 0;
 };
--- a/lib/Partition/WorkerLink.cc
+++ b/lib/Partition/WorkerLink.cc
@@ -104,9 +104,10 @@
   const TimePoint sent_at = clock_->Now();
   const std::int64_t fence = fence_;
   // A poll that went unanswered may have renewed the leases all the same. After
-  // a failed poll no poll renews them until one succeeds, so that all expire at
-  // a known time. A start may still renew them.
-  const bool renew = failed_polls_ == 0;
+  // a failed poll none renews them until one succeeds, so that all expire at a
+  // known time.
+  const bool renew = !InDoubt();
+  // A new incarnation would forget as many of its own ends.
   const HoldCommand order = {.fence = fence,
                              .seen_up_to = acknowledged_,
                              .lease_worker_ms = renew ? RenewLease() : 0,
@@ -128,8 +129,7 @@
   timers_->After(delay, [self = shared_from_this()] {
     self->poll_scheduled_ = false;
     if (self->closed_ || self->poll_in_flight_) return;
-    self->Poll(self->synced_ && !self->settling_ &&
-                       self->acknowledged_ == self->last_end_
+    self->Poll(self->Ready() && self->acknowledged_ == self->last_end_
                    ? self->options_.poll_wait
                    : kNoWait);
   });
@@ -166,6 +166,7 @@
   last_answer_ = clock_->Now();
   failed_polls_ = 0;
   silent_ = false;
+  if (sent_at >= doubted_at_) doubted_at_ = TimePoint{};
   if (answer.born_unix_ms > born_unix_ms_ && born_unix_ms_ != 0) {
     BeginIncarnation(answer.born_unix_ms, "a new incarnation answered");
     Poll(kNoWait);
@@ -216,6 +217,7 @@
 
 void WorkerLink::OnPollFailed() {
   ++failed_polls_;
+  doubted_at_ = clock_->Now();
   if (failed_polls_ >= kSilentAfterFailures) silent_ = true;
   SchedulePoll(failed_polls_ <= kQuickRetries ? kRetryDelay : kSlowRetryDelay);
 }
@@ -266,13 +268,42 @@
   order.lease_worker_ms = RenewLease();
   gateway_->Start(address_, order,
                   [self = shared_from_this(), fence = fence_,
-                   done = std::move(done)](CommandResult result) {
+                   lease = order.lease_worker_ms, earliest = EarliestClockMs(),
+                   incarnation = incarnation_,
+                   done = std::move(done)](const StartAnswer& answer) {
                     if (self->closed_) return;
-                    done(result);
-                    self->OnCommandResult(result, fence);
+                    done(answer.result);
+                    if (incarnation == self->incarnation_) {
+                      self->OnStartAnswered(answer, lease, earliest);
+                    }
+                    self->OnCommandResult(answer.result, fence);
                   });
 }
 
+std::int64_t WorkerLink::EarliestClockMs() const {
+  if (!clock_known_) return 0;
+  const std::int64_t elapsed = (clock_->Now() - worker_clock_at_).count();
+  return worker_clock_ms_ + elapsed * (1000 - kClockDriftPerMille) / 1000 -
+         kLeaseMargin.count();
+}
+
+void WorkerLink::OnStartAnswered(const StartAnswer& answer,
+                                 std::int64_t lease_worker_ms,
+                                 std::int64_t earliest_clock_ms) {
+  if (!answer.worker_clock_ms || *answer.worker_clock_ms >= earliest_clock_ms) {
+    return;
+  }
+  // Another incarnation has taken the start: its clock began anew.
+  const TimePoint now = clock_->Now();
+  const Millis left = std::min(
+      options_.max_lease, Millis(lease_worker_ms - *answer.worker_clock_ms));
+  lease_end_ = std::max(lease_end_, now + LeaseBound(left));
+  WatchLease();
+  if (InDoubt()) return;
+  doubted_at_ = now;
+  Poll(kNoWait);
+}
+
 void WorkerLink::Stop(const TaskId& task, std::int64_t run) {
   gateway_->Stop(
       address_, task, run, fence_,
--- a/unittests/Partition/FleetSim.cc
+++ b/unittests/Partition/FleetSim.cc
@@ -121,6 +121,20 @@
   });
 }
 
+void FleetSim::Restart(const std::string& id, Millis downtime) {
+  SimWorker* worker = fleet.Find(id);
+  worker->alive = false;
+  worker->running.clear();
+  worker->ended.clear();
+  worker->highest_run.clear();
+  Run(downtime);
+  worker->alive = true;
+  worker->fence = 0;
+  worker->lease_ms = 0;
+  worker->last_end_number = 0;
+  worker->born_at = timers.Now();
+}
+
 JobState FleetSim::StateOf(const std::string& job) {
   const std::optional<JobStatus> shown = owner->Find(job);
   return shown ? shown->state : JobState::kQueued;
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -169,7 +169,7 @@
 
   // WorkerGateway.
   void Start(const WorkerAddress& worker, const StartCommand& command,
-             std::function<void(CommandResult)> done) override;
+             std::function<void(const StartAnswer&)> done) override;
   void Stop(const WorkerAddress& worker, const TaskId& task, std::int64_t run,
             std::int64_t fence,
             std::function<void(CommandResult)> done) override;
@@ -250,7 +250,7 @@
   };
 
   void StartNow(const WorkerAddress& worker, const StartCommand& command,
-                const std::function<void(CommandResult)>& done);
+                const std::function<void(const StartAnswer&)>& done);
   void StopNow(const WorkerAddress& worker, const TaskId& task,
                std::int64_t run, std::int64_t fence,
                const std::function<void(CommandResult)>& done);
@@ -334,6 +334,9 @@
   /// Stores the cancellation and tells the owner, as a front end does. Unless
   /// `owner_told`, the message to the owner is lost.
   void Cancel(const std::string& job, bool owner_told = true);
+  /// The worker's process ends and starts again under its id after `downtime`.
+  /// Its directory entry does not change.
+  void Restart(const std::string& worker, Millis downtime);
   JobState StateOf(const std::string& job);
   static JobSpec MakeJob(const std::string& id, int tasks, std::int64_t ms);
 
--- a/unittests/Partition/SimFleet.cc
+++ b/unittests/Partition/SimFleet.cc
@@ -336,7 +336,7 @@
 }
 
 void SimFleet::Start(const WorkerAddress& address, const StartCommand& command,
-                     std::function<void(CommandResult)> done) {
+                     std::function<void(const StartAnswer&)> done) {
   if (command_delay == Millis(0)) return StartNow(address, command, done);
   timers_->After(command_delay, [this, address, command, done] {
     StartNow(address, command, done);
@@ -345,17 +345,20 @@
 
 void SimFleet::StartNow(const WorkerAddress& address,
                         const StartCommand& command,
-                        const std::function<void(CommandResult)>& done) {
+                        const std::function<void(const StartAnswer&)>& done) {
   SimWorker* worker = Find(address.id);
   if (worker->address_reused) {
     timers_->After(kWorkerLatency,
-                   [done] { done(CommandResult::kOtherWorker); });
+                   [done] { done({.result = CommandResult::kOtherWorker}); });
     return;
   }
-  CallWithFault<CommandResult>(
+  CallWithFault<StartAnswer>(
       FaultFor(*worker, command.fence),
-      [this, worker, command] { return DoStart(worker, command); }, done,
-      CommandResult::kUnhealthy, CommandResult::kUnknown);
+      [this, worker, command]() -> StartAnswer {
+        return {.result = DoStart(worker, command),
+                .worker_clock_ms = ClockMs(*worker)};
+      },
+      done, {.result = CommandResult::kUnhealthy}, {});
 }
 
 void SimFleet::Stop(const WorkerAddress& address, const TaskId& task,
--- a/unittests/Partition/TakeOverStaleStateTest.cc
+++ b/unittests/Partition/TakeOverStaleStateTest.cc
@@ -28,22 +28,6 @@
   return job;
 }
 
-/// The worker's process ends and starts again under its id after `downtime`.
-/// Its directory entry does not change.
-void Restart(FleetSim* sim, const std::string& id, Millis downtime) {
-  SimWorker* worker = sim->fleet.Find(id);
-  worker->alive = false;
-  worker->running.clear();
-  worker->ended.clear();
-  worker->highest_run.clear();
-  sim->Run(downtime);
-  worker->alive = true;
-  worker->fence = 0;
-  worker->lease_ms = 0;
-  worker->last_end_number = 0;
-  worker->born_at = sim->timers.Now();
-}
-
 std::string WorkerRunning(FleetSim* sim, const std::string& job) {
   for (const std::string& id : sim->fleet.AliveWorkerIds()) {
     for (const auto& [task, run] : sim->fleet.Find(id)->running) {
@@ -60,7 +44,7 @@
   RestartedWorkerTest() {
     SetUpFleet(&sim, 1);
     worker = sim.fleet.AliveWorkerIds().front();
-    Restart(&sim, worker, Millis(1000));
+    sim.Restart(worker, Millis(1000));
     sim.Run(Millis(1500));
     // The owner learns of the new incarnation from its answers.
     sim.Submit(FleetSim::MakeJob(kJob, 1, 6000));
@@ -104,7 +88,7 @@
   SetUpFleet(&sim, 2);
   const std::string worker = sim.fleet.AliveWorkerIds().front();
   // The poll in flight fails only when it times out.
-  Restart(&sim, worker, Millis(20));
+  sim.Restart(worker, Millis(20));
   sim.Submit(LastingJob(kJob, 2));
   sim.Run(Millis(100));
   ASSERT_EQ(sim.fleet.RunningTasks(kJob), 2);
@@ -131,7 +115,7 @@
     worker = sim.fleet.AliveWorkerIds().front();
     // The clock of the first incarnation is ahead by more than the limit.
     sim.Run(Millis(12000));
-    Restart(&sim, worker, Millis(20));
+    sim.Restart(worker, Millis(20));
     sim.Submit(FleetSim::MakeJob(kJob, 1, 20000));
     sim.Run(Millis(100));
     sim.Run(Millis(1300));
@@ -220,7 +204,7 @@
   sim.store.fault = SimFault::kRequestLost;
   sim.Run(Millis(200));
   ASSERT_EQ(sim.fleet.DoneTasks(kJob), 1);
-  Restart(&sim, worker, Millis(600));
+  sim.Restart(worker, Millis(600));
   for (int i = 0; i < 3000 && sim.fleet.DoneTasks(kOther) == 0; ++i) {
     sim.Run(Millis(1));
   }
--- /dev/null
+++ b/unittests/Partition/UnnoticedRestartTest.cc
@@ -0,0 +1,63 @@
+// Guards against commands that carry what is known of a worker's earlier
+// incarnation to the next one: a lease by its clock.
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "FleetSim.h"
+
+namespace basilusher {
+namespace {
+
+constexpr const char* kJob = "00000000000000a1";
+/// Longer than the lease that owners give, by the worker's clock.
+constexpr std::int64_t kUsualLeaseMs = 4100;
+
+/// One worker whose clock is ahead of a new one by more than any lease.
+class UnnoticedRestartTest : public ::testing::Test {
+ protected:
+  UnnoticedRestartTest() {
+    sim.catalog.pools.erase("spare");
+    worker = sim.fleet.AddWorker("pool");
+    sim.BeginTerm();
+    sim.Run(Millis(12000));
+  }
+
+  void TearDown() override {
+    EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
+  }
+
+  std::int64_t LeaseLeftMs() {
+    const SimWorker& state = *sim.fleet.Find(worker);
+    return state.lease_ms - (sim.timers.Now() - state.born_at).count();
+  }
+
+  FleetSim sim;
+  std::string worker;
+};
+
+// The worker held a lease of up to its limit, as the start's end was computed
+// from the clock of the incarnation before.
+TEST_F(UnnoticedRestartTest, NoTaskStartsBetweenAFailedPollAndTheNextOne) {
+  // The poll in flight has failed when the worker is back.
+  sim.Restart(worker, Millis(460));
+  sim.Submit(FleetSim::MakeJob(kJob, 1, 3000));
+  for (int i = 0; i < 100; ++i) {
+    sim.Run(Millis(10));
+    ASSERT_LE(LeaseLeftMs(), kUsualLeaseMs);
+  }
+  EXPECT_EQ(sim.fleet.RunningTasks(kJob), 1);
+}
+
+// Until its next poll the owner went on by the earlier clock, and did not count
+// with the long lease.
+TEST_F(UnnoticedRestartTest, TheClockInAStartsAnswerShowsTheRestart) {
+  sim.Restart(worker, Millis(20));
+  sim.Submit(FleetSim::MakeJob(kJob, 1, 3000));
+  sim.Run(Millis(20));
+  ASSERT_EQ(sim.fleet.RunningTasks(kJob), 1);
+  ASSERT_GT(LeaseLeftMs(), 2 * kUsualLeaseMs);
+  EXPECT_EQ(sim.owner->FindLongLeases().count(worker), 1U);
+}
+
+}  // namespace
+}  // namespace basilusher
