Acknowledge no ends to a worker that may have been restarted

Cause: the first poll that reached the new life acknowledged as many ends as the life before had reported. The worker forgot its new ends unlisted; the owner took their runs for vanished.

Fix: while the link doubts the worker's life its polls acknowledge nothing. A worker that was not restarted lists its ends again, and the link passes over those it knows.

--- a/lib/Partition/WorkerLink.cc
+++ b/lib/Partition/WorkerLink.cc
@@ -109,7 +109,7 @@
   const bool renew = !InDoubt();
   // A new incarnation would forget as many of its own ends.
   const HoldCommand order = {.fence = fence,
-                             .seen_up_to = acknowledged_,
+                             .seen_up_to = InDoubt() ? 0 : acknowledged_,
                              .lease_worker_ms = renew ? RenewLease() : 0,
                              .wait = wait};
   gateway_->Hold(address_, order,
--- a/unittests/Partition/UnnoticedRestartTest.cc
+++ b/unittests/Partition/UnnoticedRestartTest.cc
@@ -1,5 +1,5 @@
 // Guards against commands that carry what is known of a worker's earlier
-// incarnation to the next one: a lease by its clock.
+// incarnation to the next one: a lease by its clock, the number of its ends.
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr const char* kJob = "00000000000000a1";
+constexpr const char* kOther = "00000000000000b2";
+/// Longer than the time-out of a call and than the delay before the next poll.
+constexpr Millis kNoticed{700};
 /// Longer than the lease that owners give, by the worker's clock.
 constexpr std::int64_t kUsualLeaseMs = 4100;
 
@@ -59,5 +62,35 @@
   EXPECT_EQ(sim.owner->FindLongLeases().count(worker), 1U);
 }
 
+// review/1: the first poll of the new incarnation acknowledged as many ends as
+// the one before had reported; the tasks were run again.
+TEST_F(UnnoticedRestartTest, EndsThatWereNeverReportedAreNotAcknowledged) {
+  sim.Submit(FleetSim::MakeJob(kOther, 8, 100));
+  sim.Run(Millis(500));
+  ASSERT_EQ(sim.StateOf(kOther), JobState::kSucceeded);
+  sim.Restart(worker, Millis(20));
+  sim.Submit(FleetSim::MakeJob(kJob, 4, 100));
+  sim.Run(kNoticed);
+  sim.Run(Millis(1000));
+  EXPECT_EQ(sim.StateOf(kJob), JobState::kSucceeded);
+  EXPECT_EQ(sim.fleet.StartedRuns(), 12);
+}
+
+// The same where nothing but the failed poll tells of the restart.
+TEST_F(UnnoticedRestartTest, APollAfterAFailedOneAcknowledgesNothing) {
+  sim.Submit(FleetSim::MakeJob(kOther, 8, 100));
+  sim.Run(Millis(500));
+  // Starts reach the new incarnation, and nothing comes back.
+  sim.Restart(worker, Millis(20));
+  sim.fleet.Find(worker)->fault = SimFault::kAnswerLost;
+  sim.Submit(FleetSim::MakeJob(kJob, 4, 100));
+  sim.Run(Millis(200));
+  sim.fleet.Find(worker)->fault = SimFault::kNone;
+  sim.Run(kNoticed);
+  sim.Run(Millis(1000));
+  EXPECT_EQ(sim.StateOf(kJob), JobState::kSucceeded);
+  EXPECT_EQ(sim.fleet.StartedRuns(), 12);
+}
+
 }  // namespace
 }  // namespace basilusher
