Count crashes at any age against tasks that end by themselves

Cause: a run that had worked for 5 s cleared all evidence against its task. The bound was made for tasks that last.

Fix: only the age of a lasting task's run proves that it is harmless. Runs of other tasks count at any age: four crashes suffice, five if other runs had just started on the workers. A suspect's stored row stays until its run has ended, for the next owner.

A task with three such crashes goes on (ThreeCrashesOfAgedRunsDoNotGiveATaskUp).

--- a/lib/Jobs/CrashEvidence.cc
+++ b/lib/Jobs/CrashEvidence.cc
@@ -28,6 +28,11 @@
 
 }  // namespace
 
+Millis CrashAge(const StepSpec& step, Millis worked_for) {
+  return step.lasting ? worked_for
+                      : std::min(worked_for, kProvenHarmless - Millis(1));
+}
+
 void RecordCrash(CrashEvidence* evidence, std::int64_t run,
                  const std::string& worker, Millis worked_for,
                  bool others_in_startup, bool start_confirmed) {
--- a/lib/Partition/OwnerCrashes.cc
+++ b/lib/Partition/OwnerCrashes.cc
@@ -176,7 +176,9 @@
     return;
   }
   row->second.in_startup = false;
-  if (worked_for < kProvenHarmless) return;
+  const StepSpec& step =
+      jobs_.Find(id.job)->spec.steps[static_cast<std::size_t>(id.step)];
+  if (CrashAge(step, worked_for) < kProvenHarmless) return;
   task->crashes.unconfirmed.erase(row);
   recorder_->Save({id.job}, nullptr);
 }
@@ -208,13 +210,15 @@
         task->state == TaskState::kDone) {
       continue;
     }
+    const StepSpec& step = job->spec.steps[static_cast<std::size_t>(id.step)];
     const bool others_in_startup =
         in_startup > (worked_for < kStartupPhase ? 1 : 0);
     if (lost.inherited && !lost.inherited->in_startup) {
       RecordPossibleCrash(&task->crashes, run);
     } else {
-      RecordCrash(&task->crashes, run, worker->capacity.id, worked_for,
-                  others_in_startup, lost.start_confirmed);
+      RecordCrash(&task->crashes, run, worker->capacity.id,
+                  CrashAge(step, worked_for), others_in_startup,
+                  lost.start_confirmed);
     }
     if (!IsSuspect(*task)) {
       if (!task->crashes.runs.empty()) recorder_->Save({id.job}, nullptr);
@@ -233,7 +237,6 @@
     task->suspect_since = deps_.clock->Now();
     task->unconfirmed_until = TimePoint{};
     task->avoid_worker = worker->capacity.id;
-    const StepSpec& step = job->spec.steps[static_cast<std::size_t>(id.step)];
     if (MustGiveUp(step, *task)) GiveUpTask(job, id);
     if (!IsFinal(job->state)) StoreEvidence(id, task);
   }
--- a/unittests/Jobs/CrashEvidenceTest.cc
+++ b/unittests/Jobs/CrashEvidenceTest.cc
@@ -125,6 +125,13 @@
   EXPECT_EQ(JudgeCrashes(evidence), CrashVerdict::kUnsuspected);
 }
 
+TEST(CrashEvidenceTest, OnlyALastingTaskIsProvenHarmlessByItsAge) {
+  EXPECT_EQ(CrashAge({.lasting = true}, kProvenHarmless), kProvenHarmless);
+  EXPECT_LT(CrashAge({}, 10 * kProvenHarmless), kProvenHarmless);
+  EXPECT_GE(CrashAge({}, 10 * kProvenHarmless), kStartupPhase);
+  EXPECT_EQ(CrashAge({}, Millis(10)), Millis(10));
+}
+
 TEST(CrashEvidenceTest, ALaterOwnerReadsTheEvidence) {
   JobTable table;
   JobSpec spec;
--- a/unittests/Partition/TaskCrashesWorkersTest.cc
+++ b/unittests/Partition/TaskCrashesWorkersTest.cc
@@ -179,6 +179,18 @@
   EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
 }
 
+TEST_F(TaskCrashesWorkersTest, ThreeCrashesOfAgedRunsDoNotGiveATaskUp) {
+  sim.fleet.crash_delay = Millis(6500);
+  SetUpFleet(6);
+  sim.Submit(FleetSim::MakeJob(kJob, 1, 9000));
+  for (int i = 0; i < 9000 && sim.fleet.StartsOf(kCrashing) < 4; ++i) {
+    sim.Run(Millis(10));
+  }
+  ASSERT_EQ(sim.fleet.StartsOf(kCrashing), 4);
+  EXPECT_EQ(sim.StateOf(kJob), JobState::kRunning);
+  EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
+}
+
 TEST_F(TaskCrashesWorkersTest, AMemberOfAGangThatCrashesWorkersIsGivenUp) {
   SetUpFleet(6);
   JobSpec job = FleetSim::MakeJob(kJob, 3, 400);
