Order no instance with tasks right after an earlier owner's order

Cause: instances without tasks were held back for the time that an order holds, those that a pool may take back once their short tasks have ended were not.

Fix: these are held back too, and no order at all is sent to such an instance.

Evidence: TakeOverStaleStateTest.AnInstanceWithTasksIsNotOrderedRightAfterAnOrder: three moves within 2.8 s of the earlier order with both checks taken out, none now.

--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -189,6 +189,7 @@
     return;
   }
   if (already_sent && now - op->sent_at < kOrderRetryDelay) return;
+  if (OrderedByEarlierOwner(id)) return;
   if (!op->recorded) {
     ordered_at_[id] = now;  // SaveOrders() records it first
     return;
--- a/lib/Partition/OwnerPools.cc
+++ b/lib/Partition/OwnerPools.cc
@@ -202,7 +202,8 @@
                                 worker->link->Silent() ||
                                 worker->outlier_detector.OutlierScore(now) > 0;
     view.reclaimable = op == instance_operations_.end() && worker != nullptr &&
-                       Usable(*worker) && worker->capacity.lasting == 0;
+                       Usable(*worker) && worker->capacity.lasting == 0 &&
+                       !OrderedByEarlierOwner(id);
     view.tasks = worker == nullptr ? 0 : static_cast<int>(worker->tasks.size());
     const bool unavailable =
         (op != instance_operations_.end() && op->second.wave > 0) ||
--- a/unittests/Partition/TakeOverStaleStateTest.cc
+++ b/unittests/Partition/TakeOverStaleStateTest.cc
@@ -226,6 +226,33 @@
   EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
 }
 
+// Two owners ordered one instance within the time for which an order holds.
+TEST(TakeOverStaleStateTest, AnInstanceWithTasksIsNotOrderedRightAfterAnOrder) {
+  FleetSim sim;
+  sim.catalog.pools["other"] = {.name = "other"};
+  sim.catalog.queues["other"] = sim.catalog.queues.at("queue");
+  sim.catalog.queues["other"].pool = "other";
+  for (int i = 0; i < 4; ++i) sim.fleet.AddWorker("pool");
+  Json orders = Json::object();
+  for (const std::string& id : sim.fleet.AliveWorkerIds()) {
+    orders["m-" + id] = WallMicros() / 1000;
+  }
+  sim.store.Put(RecordKeys().orders, orders.dump());
+  sim.BeginTerm();
+  sim.Run(Millis(300));
+  // Short tasks run on each instance, and another pool has none.
+  JobSpec job = FleetSim::MakeJob(kJob, 4, 500);
+  job.steps[0].max_per_worker = 1;
+  sim.Submit(job);
+  JobSpec elsewhere = FleetSim::MakeJob(kOther, 32, 4000);
+  elsewhere.queue = "other";
+  sim.Submit(elsewhere);
+  sim.Run(Millis(2500));
+  EXPECT_EQ(sim.fleet.moves, 0);
+  sim.Run(Millis(3000));
+  EXPECT_GT(sim.fleet.moves, 0);
+}
+
 TEST(TakeOverStaleStateTest,
      AnInstanceMaintainedBeforeATakeOverIsNotAwaitedTwice) {
   FleetSim sim;
