Place by the labels of a worker's present incarnation

Cause: nothing compared the start that the entry states with the one that the worker's answers state.

Fix: while the entry describes an earlier life, the worker has no labels.

Evidence: UnnoticedRestartTest.ARequiredLabelIsThatOfThePresentIncarnation: one start with the comparison taken out, none now until the entry is written again. A start that is sent before the restart can be noticed still goes by the earlier labels.

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -139,6 +139,9 @@
   void OnDirectory(const StoredItem& item);
   WorkerState* AddWorker(const std::string& id, const std::string& address);
   void CloseLink(WorkerState* worker);
+  /// Takes the labels from the directory entry, or none if it describes an
+  /// earlier incarnation: the next one may run on other hardware.
+  static void UpdateLabels(WorkerState* worker);
   /// True if the worker has been read, no run is left there and all reported
   /// ends are durable, so that a later owner need not read it.
   bool IsSafeToForget(const WorkerState& worker) const;
--- a/lib/Partition/OwnerReconciliation.cc
+++ b/lib/Partition/OwnerReconciliation.cc
@@ -226,6 +226,7 @@
       {{"worker", id}, {"reason", reason}, {"tasks", worker->tasks.size()}});
   worker->unknown_job_ends.clear();
   worker->deferred_ends.clear();
+  UpdateLabels(worker);
   CollectLostRuns(worker);
   worker->reborn = true;
   for (const TaskId& task_id : worker->tasks) {
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -109,13 +109,21 @@
   worker->unlisted_at = TimePoint{};
   worker->capacity.pool = entry->pool;
   worker->capacity.rack = entry->rack;
-  worker->capacity.labels = entry->labels;
   worker->capacity.room = entry->room;
   worker->link->NoteIncarnation(entry->born_unix_ms);
+  UpdateLabels(worker);
   if (added && loaded_) SaveWorkers();
   ScheduleDispatch();
 }
 
+void PartitionOwner::UpdateLabels(WorkerState* worker) {
+  const std::int64_t entry_born = worker->entry.born_unix_ms;
+  const bool current =
+      entry_born == 0 || entry_born >= worker->link->BornUnixMs();
+  worker->capacity.labels =
+      current ? worker->entry.labels : std::vector<std::string>();
+}
+
 void PartitionOwner::Allocate(WorkerState* worker, JobRecord* job,
                               const TaskId& id) {
   const StepSpec& step = job->spec.steps[static_cast<std::size_t>(id.step)];
--- a/unittests/Partition/FleetSim.cc
+++ b/unittests/Partition/FleetSim.cc
@@ -31,6 +31,7 @@
                 .memory_mb = in.value("memory", std::int64_t{0})};
   entry.draining = in.value("draining", false);
   entry.born_unix_ms = in.value("born", std::int64_t{0});
+  entry.labels = in.value("labels", std::vector<std::string>{});
   return entry;
 }
 
--- a/unittests/Partition/UnnoticedRestartTest.cc
+++ b/unittests/Partition/UnnoticedRestartTest.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "FleetSim.h"
+#include "basilusher/Support/Json.h"
 
 namespace basilusher {
 namespace {
@@ -92,5 +93,30 @@
   EXPECT_EQ(sim.fleet.StartedRuns(), 12);
 }
 
+// The next incarnation may run on other hardware: tasks were started there by the
+// labels of the one before.
+TEST_F(UnnoticedRestartTest, ARequiredLabelIsThatOfThePresentIncarnation) {
+  const std::string key = "workers/" + worker;
+  Json entry = Json::parse(sim.store.Value(key));
+  entry["labels"] = {"fast"};
+  sim.store.Put(key, entry.dump());
+  sim.Run(Millis(500));
+  sim.Restart(worker, Millis(460));
+  sim.Run(kNoticed);
+  JobSpec job = FleetSim::MakeJob(kJob, 1, 300);
+  job.steps[0].required_label = "fast";
+  sim.Submit(job);
+  sim.Run(Millis(1000));
+  EXPECT_EQ(sim.fleet.StartedRuns(), 0);
+  // An old entry that is written again says nothing new.
+  sim.store.Put(key, entry.dump());
+  sim.Run(Millis(1000));
+  EXPECT_EQ(sim.fleet.StartedRuns(), 0);
+  entry["born"] = sim.fleet.Find(worker)->born_at.time_since_epoch().count();
+  sim.store.Put(key, entry.dump());
+  sim.Run(Millis(1000));
+  EXPECT_EQ(sim.StateOf(kJob), JobState::kSucceeded);
+}
+
 }  // namespace
 }  // namespace basilusher
