Resume all members of a gang from one checkpoint

Cause: each member's record has the checkpoint that its own worker reported last.

Fix: before a gang starts, all its members take the checkpoint of one of them, which is valid for all.

The fakes check each gang's run for this from now on.

--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -22,6 +22,17 @@
 constexpr Millis kInstanceArrival{1500};
 /// Mean share of a running task's duration that is still to come.
 constexpr double kMeanShareLeft = 0.5;
+/// Lets all members of a gang resume from one checkpoint; that of any member
+/// is valid for the others.
+void ShareCheckpoint(StepRecord* gang) {
+  const auto saved = std::find_if(
+      gang->tasks.begin(), gang->tasks.end(),
+      [](const TaskRecord& task) { return !task.checkpoint.empty(); });
+  if (saved == gang->tasks.end()) return;
+  const std::string checkpoint = saved->checkpoint;
+  for (TaskRecord& task : gang->tasks) task.checkpoint = checkpoint;
+}
+
 /// The runs of a term are numbered from (term - 1) * kRunsPerTerm + 1.
 constexpr std::int64_t kRunsPerTerm = 1000;
 
@@ -392,6 +403,7 @@
     worker->isolated = MustStartApart(task);
     chosen[static_cast<std::size_t>(i)] = worker->id;
   }
+  ShareCheckpoint(&record);
   std::vector<PlacedTask> placed;
   placed.reserve(chosen.size());
   for (int i = 0; i < spec.count; ++i) {
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -266,6 +266,7 @@
   std::int64_t ClockMs(const SimWorker& worker) const;
   void CheckStart(const SimWorker& worker, const StartCommand& command,
                   const StepSpec& step);
+  void CheckGangCheckpoint(const StartCommand& command);
   void CheckAcknowledgedEnd(const SimWorker& worker, const EndedTask& end);
   void CheckCrashes(const TaskId& task);
   void Restart(const std::string& id);
@@ -289,6 +290,8 @@
   std::map<std::string, TimePoint> cancelled_at_;
   std::map<TaskId, std::int64_t> done_run_;
   std::map<TaskId, TimePoint> last_start_;
+  /// Checkpoint of each gang's run, by the first member.
+  std::map<std::pair<TaskId, std::int64_t>, std::string> gang_checkpoints_;
   /// Tasks whose success was acknowledged: they must not start again.
   std::set<TaskId> acknowledged_;
   std::map<TaskId, int> acknowledged_failures_;
--- a/unittests/Partition/GangEndTest.cc
+++ b/unittests/Partition/GangEndTest.cc
@@ -110,5 +110,25 @@
   EXPECT_EQ(sim.fleet.RunningTasks(kWaiting), kMaxTasks);
 }
 
+/// After a crash each member has the checkpoint that its worker last reported.
+TEST_F(GangEndTest, AllMembersResumeFromOneCheckpoint) {
+  SetUpFleet(2);
+  SubmitGang(kTasksPerWorker + 4, 3000);
+  int number = 0;
+  for (const std::string& id : sim.fleet.AliveWorkerIds()) {
+    for (auto& [task, run] : sim.fleet.Find(id)->running) {
+      run.checkpoint = "checkpoint-" + std::to_string(++number);
+    }
+  }
+  sim.Run(Millis(1200));
+  sim.fleet.restart_mode = SimFleet::RestartMode::kSameId;
+  for (const std::string& id : sim.fleet.AliveWorkerIds()) {
+    sim.fleet.CrashAndRestart(id);
+  }
+  sim.Run(Millis(8000));
+  EXPECT_EQ(sim.StateOf(kGang), JobState::kSucceeded);
+  EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
+}
+
 }  // namespace
 }  // namespace basilusher
--- a/unittests/Partition/SimFleet.cc
+++ b/unittests/Partition/SimFleet.cc
@@ -230,6 +230,17 @@
   }
 }
 
+void SimFleet::CheckGangCheckpoint(const StartCommand& command) {
+  TaskId gang = command.task;
+  gang.index = 0;
+  const auto [it, added] =
+      gang_checkpoints_.try_emplace({gang, command.run}, command.checkpoint);
+  if (!added && it->second != command.checkpoint) {
+    AddViolation("members resume from different checkpoints: " +
+                 FormatTaskId(command.task));
+  }
+}
+
 void SimFleet::CheckAcknowledgedEnd(const SimWorker& worker,
                                     const EndedTask& end) {
   if (end.kind != EndKind::kDone) return;
@@ -289,6 +300,7 @@
     AddViolation("exceeds the room of " + worker->id + ": " +
                  FormatTaskId(command.task));
   }
+  if (step.gang) CheckGangCheckpoint(command);
   ++started_runs_;
   CheckCrashes(command.task);
   if (crashing_tasks.contains(command.task)) {
