Count the runs of a job that was cancelled before a take-over

Cause: the next owner forgot the cancelled job once that was stored, knew nothing of its runs on workers that it had not read, and stopped those that were reported without counting them.

Fix: a job that was taken over and is over is kept until all workers are read; until then its tasks count as those of other jobs do, and a run that is reported counts until its end is.

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -112,6 +112,8 @@
   void ReportInboxAge();
   void EndJob(JobRecord* job);
   void DropIfFinished(const std::string& id);
+  /// Drops the finished jobs that were kept until all workers are read.
+  void DropKeptJobs();
   JobSnapshot SnapshotOf(const std::string& job) const;
   void ForgetOldFinals();
   void SaveWorkers();
@@ -169,6 +171,10 @@
   /// limit of its workspace until its end is known.
   void HoldRoom(WorkerState* worker, const JobRecord& job, const TaskId& task,
                 std::int64_t run);
+  /// The same for a reported run of a job that is over, which an earlier owner
+  /// has started.
+  void HoldRoomOfFinishedJob(WorkerState* worker, const JobRecord& job,
+                             const RunningTask& running);
   void FreeRoom(WorkerState* worker, const AbandonedRun& abandoned);
   void FreeAbandonedRuns(WorkerState* worker, const HoldAnswer& answer,
                          TimePoint sent_at);
@@ -483,6 +489,7 @@
   bool workers_loaded_ = false;
   bool loaded_ = false;
   bool dispatch_scheduled_ = false;
+  bool kept_finished_jobs_ = false;
   std::int64_t workers_revision_ = 0;
   /// Lower bound for the fencing tokens of new links: above those of all closed
   /// links.
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -85,6 +85,7 @@
     }
     ResolveUnknownJobEnds();
     DropGoneWorkers();
+    DropKeptJobs();
     FindStragglers();
     Dispatch();
   } else {
--- a/lib/Partition/OwnerReconciliation.cc
+++ b/lib/Partition/OwnerReconciliation.cc
@@ -70,8 +70,8 @@
     const std::optional<LongLeases>& long_leases) {
   const TimePoint now = deps_.clock->Now();
   earlier_owner_stopped_at_ = now;
-  earlier_lease_bound_ = LeaseBound(long_leases ? options_.task_lease
-                                                : options_.max_task_lease);
+  earlier_lease_bound_ =
+      LeaseBound(long_leases ? options_.task_lease : options_.max_task_lease);
   for (const auto& [id, left] : long_leases.value_or(LongLeases())) {
     LogEvent(LogLevel::kInfo, "long-lease-inherited",
              {{"worker", id}, {"left_ms", left.count()}});
@@ -107,9 +107,8 @@
   const bool only_one =
       options_.term <= 2 || fully_read_term_ + 1 >= options_.term;
   if (!earlier_owner_stopped_at_ || !only_one) return;
-  orphaned_runs_until_ =
-      std::min(orphaned_runs_until_,
-               *earlier_owner_stopped_at_ + earlier_lease_bound_);
+  orphaned_runs_until_ = std::min(
+      orphaned_runs_until_, *earlier_owner_stopped_at_ + earlier_lease_bound_);
 }
 
 bool PartitionOwner::MayHaveOrphanedRuns(const JobRecord& job) const {
@@ -141,7 +140,9 @@
                 : largest;
   }
   for (const auto& [id, job] : jobs_.All()) {
-    if (IsFinal(job->state) || !MayHaveOrphanedRuns(*job)) continue;
+    if (job->state == JobState::kSucceeded || !MayHaveOrphanedRuns(*job)) {
+      continue;
+    }
     Resources& use = orphaned[job->spec.workspace];
     for (const auto& [number, occurrence] : job->occurrences) {
       for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
@@ -158,6 +159,16 @@
   return orphaned;
 }
 
+void PartitionOwner::DropKeptJobs() {
+  if (!kept_finished_jobs_ || !unread_workers_.empty()) return;
+  kept_finished_jobs_ = false;
+  std::vector<std::string> finished;
+  for (const auto& [id, job] : jobs_.All()) {
+    if (IsFinal(job->state)) finished.push_back(id);
+  }
+  for (const std::string& id : finished) DropIfFinished(id);
+}
+
 bool PartitionOwner::MayBecomeKnown(const std::string& job) const {
   return jobs_.Find(job) == nullptr && !finals_.contains(job) &&
          inbox_->FreshAt() < deps_.clock->Now();
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -371,6 +371,11 @@
 void PartitionOwner::DropIfFinished(const std::string& id) {
   JobRecord* job = jobs_.Find(id);
   if (job == nullptr || !IsFinal(job->state) || !job->final_stored) return;
+  if (job->inherited && !unread_workers_.empty()) {
+    // Runs of it that are still reported count until they have ended.
+    kept_finished_jobs_ = true;
+    return;
+  }
   bool active = false;
   ForEachActive(job, [&active](const TaskId&, TaskRecord*) { active = true; });
   if (active) return;
@@ -513,8 +518,7 @@
   std::vector<JobRecord*> exhausted;
   for (const auto& [id, job] : jobs_.All()) {
     const std::optional<int> attempts = MaxAttempts(*job);
-    if (!IsFinal(job->state) && attempts &&
-        HasExhaustedTask(*job, *attempts)) {
+    if (!IsFinal(job->state) && attempts && HasExhaustedTask(*job, *attempts)) {
       exhausted.push_back(job.get());
     }
   }
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -289,9 +289,23 @@
     ++worker->unknown_job_runs_reported;
     return;
   }
+  if (task != nullptr && IsFinal(job->state)) {
+    HoldRoomOfFinishedJob(worker, *job, running);
+  }
   StopUnwantedRun(worker, running.task, running.run);
 }
 
+void PartitionOwner::HoldRoomOfFinishedJob(WorkerState* worker,
+                                           const JobRecord& job,
+                                           const RunningTask& running) {
+  const bool held = std::any_of(
+      worker->abandoned.begin(), worker->abandoned.end(),
+      [&running](const AbandonedRun& abandoned) {
+        return abandoned.run == running.run && abandoned.task == running.task;
+      });
+  if (!held) HoldRoom(worker, job, running.task, running.run);
+}
+
 void PartitionOwner::StopUnwantedRun(WorkerState* worker, const TaskId& task,
                                      std::int64_t run) {
   ++worker->unowned_runs_reported;
--- a/unittests/Partition/TakeOverTest.cc
+++ b/unittests/Partition/TakeOverTest.cc
@@ -203,6 +203,35 @@
   EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
 }
 
+// A job was cancelled while nobody owned the work; its runs, which were being
+// stopped, did not count towards the workspace's limit.
+TEST_F(TakeOverTest,
+       RunsOfAJobCancelledBeforeATakeOverCountUntilTheyHaveEnded) {
+  constexpr const char* kNext = "00000000000000b2";
+  sim.catalog.workspaces["team"].cap = {.cpu_millis = 4000};
+  SetUpFleet(2);
+  JobSpec job = FleetSim::MakeJob(kJob, 2, 9000);
+  job.steps[0].max_per_worker = 1;
+  sim.Submit(job);
+  sim.Run(Millis(300));
+  ASSERT_EQ(sim.fleet.RunningTasks(kJob), 2);
+  sim.owner->Close();
+  sim.Cancel(kJob, /*owner_told=*/false);
+  sim.Submit(FleetSim::MakeJob(kNext, 4, 300));
+  // One of the workers is read later than the other.
+  const std::string late = sim.fleet.AliveWorkerIds().back();
+  sim.fleet.Find(late)->fault = SimFault::kRequestLost;
+  sim.BeginTerm();
+  for (int i = 0; i < 4000; ++i) {
+    sim.Run(Millis(1));
+    if (i == 500) sim.fleet.Find(late)->fault = SimFault::kNone;
+    ASSERT_LE(sim.fleet.RunningTasks(kJob) + sim.fleet.RunningTasks(kNext), 2);
+  }
+  EXPECT_EQ(sim.StateOf(kJob), JobState::kCancelled);
+  EXPECT_EQ(sim.StateOf(kNext), JobState::kSucceeded);
+  EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
+}
+
 TEST_F(TakeOverTest, EntriesAreNotExpectedBackDuringAnOutageOfTheStore) {
   SetUpFleet(3);
   JobSpec lasting = FleetSim::MakeJob(kJob, 1, 0);
