--- a/include/basilusher/Jobs/CrashEvidence.h
+++ b/include/basilusher/Jobs/CrashEvidence.h
@@ -16,8 +16,8 @@
 /// A run that is known to have worked for this long is less suspect than one
 /// that had just started when its worker crashed.
 inline constexpr Millis kStartupPhase{300};
-/// A lasting task's run that is known to have worked for this long did not cause
-/// the crash.
+/// A lasting task's run that is known to have worked for this long did not
+/// cause the crash.
 inline constexpr Millis kProvenHarmless{5000};
 
 /// A run of which it is not known whether its worker has crashed.
@@ -67,8 +67,9 @@
 };
 
 /// Age of a run of `step` at a crash, as evidence. Tasks that last are there at
-/// many crashes of workers; one that ends by itself may crash its workers however
-/// long it works, so its runs never prove that it is harmless. Thread-safe.
+/// many crashes of workers; one that ends by itself may crash its workers
+/// however long it works, so its runs never prove that it is harmless.
+/// Thread-safe.
 Millis CrashAge(const StepSpec& step, Millis worked_for);
 
 /// Adds the crash of `worker` under `run`. `worked_for` is the time for which
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -187,11 +187,20 @@
   void ReturnToQueue(JobRecord* job, const TaskId& id);
   void StopTask(JobRecord* job, const TaskId& id, TaskRecord* task);
 
-  void UseCatalog(std::shared_ptr<const Catalog> catalog);
   void OnJobEnded(JobRecord* job);
+  // OwnerConfiguration.cc: what the configuration says of a job, and what holds
+  // while it does not have the job's queue or workspace.
+  void UseCatalog(std::shared_ptr<const Catalog> catalog);
+  /// Null while the configuration does not have the job's queue.
+  const QueueConfig* QueueOf(const JobRecord& job) const;
+  /// Failed runs of one task after which the job fails; nothing while the job's
+  /// queue is not in the configuration.
+  std::optional<int> MaxAttempts(const JobRecord& job) const;
   /// Fails the jobs whose tasks have no attempts left by the present
   /// configuration: runs may have failed while it did not have their queue.
   void FailExhaustedJobs();
+  /// True if the job's workspace may use `need` beside what its tasks use.
+  bool WithinCap(const JobRecord& job, const Resources& need) const;
 
   // OwnerCrashes.cc: crashes of workers as evidence against tasks.
   static Millis WorkedFor(const WorkerState& worker, const TaskRecord& task);
@@ -303,7 +312,6 @@
                  FullPoolMemo* full);
   void PlaceGang(JobRecord* job, int occurrence, int step,
                  const std::vector<WorkerCapacity*>& workers);
-  bool WithinCap(const JobRecord& job, const Resources& need) const;
   /// Upper bound of what orphaned runs may use on unread workers, by workspace.
   std::map<std::string, Resources> OrphanedUse() const;
   void StartTask(JobRecord* job, const TaskId& id, WorkerState* worker,
@@ -402,10 +410,6 @@
 
   void Count(const char* name, std::int64_t n = 1);
   void Observe(const char* name, Millis value);
-  const QueueConfig* QueueOf(const JobRecord& job) const;
-  /// Failed runs of one task after which the job fails; nothing while the job's
-  /// queue is not in the configuration.
-  std::optional<int> MaxAttempts(const JobRecord& job) const;
   WorkerState* FindWorker(const std::string& id);
 
   OwnerDependencies deps_;
--- a/lib/Node/JobFront.cc
+++ b/lib/Node/JobFront.cc
@@ -29,9 +29,9 @@
   const std::optional<JobState> state =
       ValueOf(kJobStateNames, FieldOr(in, "state", std::string()));
   if (!state) return {.result = FindResult::kUnavailable};
-  return {.result = FindResult::kFound,
-          .job = {.state = *state,
-                  .queue = FieldOr(in, "queue", std::string())}};
+  return {
+      .result = FindResult::kFound,
+      .job = {.state = *state, .queue = FieldOr(in, "queue", std::string())}};
 }
 
 }  // namespace
@@ -418,14 +418,13 @@
   if (owner != nullptr) return done(owner->Pending(queue));
   const OwnerView* remote = agent_->RemoteOwner();
   if (remote == nullptr) return done(std::nullopt);
-  ports_.peers->Call(remote->address, PeerPaths::kPending, {{"queue", queue}},
-                     kOwnerTimeout,
-                     [done = std::move(done)](std::optional<Json> answer) {
-                       const int pending =
-                           answer ? FieldOr(*answer, "pending", -1) : -1;
-                       if (pending < 0) return done(std::nullopt);
-                       done(pending);
-                     });
+  ports_.peers->Call(
+      remote->address, PeerPaths::kPending, {{"queue", queue}}, kOwnerTimeout,
+      [done = std::move(done)](std::optional<Json> answer) {
+        const int pending = answer ? FieldOr(*answer, "pending", -1) : -1;
+        if (pending < 0) return done(std::nullopt);
+        done(pending);
+      });
 }
 
 void JobFront::Serve(PeerMethods* methods) {
--- a/lib/Node/NodeAgent.cc
+++ b/lib/Node/NodeAgent.cc
@@ -149,12 +149,12 @@
     if (!owner_view_.node.empty()) earlier_owner_ = owner_view_;
     owner_view_ = {};
     if (document.is_object()) {
-      owner_view_ = {.node = FieldOr(document, "node", std::string()),
-                     .address = FieldOr(document, "address", std::string()),
-                     .incarnation =
-                         FieldOr(document, "incarnation", std::string()),
-                     .term = FieldOr(document, "term", std::int64_t{0}),
-                     .revision = item.revision};
+      owner_view_ = {
+          .node = FieldOr(document, "node", std::string()),
+          .address = FieldOr(document, "address", std::string()),
+          .incarnation = FieldOr(document, "incarnation", std::string()),
+          .term = FieldOr(document, "term", std::int64_t{0}),
+          .revision = item.revision};
       LogEvent(LogLevel::kInfo, "owner",
                {{"node", owner_view_.node}, {"term", owner_view_.term}});
       if (owner_ != nullptr && owner_view_.term > owner_->Term()) {
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -38,18 +38,6 @@
 
 }  // namespace
 
-const QueueConfig* PartitionOwner::QueueOf(const JobRecord& job) const {
-  if (catalog_ == nullptr) return nullptr;
-  const auto it = catalog_->queues.find(job.spec.queue);
-  return it == catalog_->queues.end() ? nullptr : &it->second;
-}
-
-std::optional<int> PartitionOwner::MaxAttempts(const JobRecord& job) const {
-  const QueueConfig* queue = QueueOf(job);
-  if (queue == nullptr) return std::nullopt;
-  return std::max(1, queue->max_attempts);
-}
-
 void PartitionOwner::Count(const char* name, std::int64_t n) {
   if (deps_.counters != nullptr) deps_.counters->Add(name, n);
 }
@@ -269,22 +257,6 @@
   }
 }
 
-bool PartitionOwner::WithinCap(const JobRecord& job,
-                               const Resources& need) const {
-  const auto limit = workspace_caps_.find(job.spec.workspace);
-  if (limit == workspace_caps_.end()) return true;
-  Resources used;
-  const auto it = workspace_used_.find(job.spec.workspace);
-  if (it != workspace_used_.end()) used = it->second;
-  const auto orphaned = workspace_orphaned_.find(job.spec.workspace);
-  if (orphaned != workspace_orphaned_.end()) used += orphaned->second;
-  used += need;
-  const Resources& cap = limit->second;
-  return (cap.cpu_millis == 0 || used.cpu_millis <= cap.cpu_millis) &&
-         (cap.memory_mb == 0 || used.memory_mb <= cap.memory_mb) &&
-         (cap.accelerators == 0 || used.accelerators <= cap.accelerators);
-}
-
 std::int64_t PartitionOwner::NextRun(const TaskRecord& task) const {
   return std::max(task.run, (options_.term - 1) * kRunsPerTerm) + 1;
 }
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -500,32 +500,4 @@
   return pending;
 }
 
-void PartitionOwner::SetCatalog(std::shared_ptr<const Catalog> catalog) {
-  UseCatalog(std::move(catalog));
-  if (loaded_) FailExhaustedJobs();
-  ScheduleDispatch();
-}
-
-void PartitionOwner::UseCatalog(std::shared_ptr<const Catalog> catalog) {
-  catalog_ = std::move(catalog);
-  if (catalog_ == nullptr) return;
-  for (const auto& [name, workspace] : catalog_->workspaces) {
-    workspace_caps_[name] = workspace.cap;
-  }
-}
-
-void PartitionOwner::FailExhaustedJobs() {
-  std::vector<JobRecord*> exhausted;
-  for (const auto& [id, job] : jobs_.All()) {
-    const std::optional<int> attempts = MaxAttempts(*job);
-    if (!IsFinal(job->state) && attempts && HasExhaustedTask(*job, *attempts)) {
-      exhausted.push_back(job.get());
-    }
-  }
-  for (JobRecord* job : exhausted) {
-    job->state = JobState::kFailed;
-    OnJobEnded(job);
-  }
-}
-
 }  // namespace basilusher
--- a/lib/Partition/WorkerLink.cc
+++ b/lib/Partition/WorkerLink.cc
@@ -10,7 +10,8 @@
 constexpr std::int64_t kClockDriftPerMille = 20;
 /// Allowance for rounding and scheduling delays on both sides.
 constexpr Millis kLeaseMargin{50};
-/// Allowance for starts that are on their way when a new incarnation is noticed.
+/// Allowance for starts that are on their way when a new incarnation is
+/// noticed.
 constexpr Millis kStartInTransit{250};
 /// Delay between a failed poll and the next one.
 constexpr Millis kRetryDelay{150};
@@ -76,9 +77,9 @@
   const std::int64_t deadline =
       worker_clock_ms_ + elapsed + options_.lease.count();
   max_lease_worker_ms_ = std::max(max_lease_worker_ms_, deadline);
-  lease_end_ = std::max(
-      {lease_end_, earlier_lease_end_,
-       LatestLeaseEnd(worker_clock_at_, worker_clock_ms_, deadline)});
+  lease_end_ =
+      std::max({lease_end_, earlier_lease_end_,
+                LatestLeaseEnd(worker_clock_at_, worker_clock_ms_, deadline)});
   WatchLease();
   return deadline;
 }
@@ -234,8 +235,7 @@
   max_lease_worker_ms_ = 0;
   // A start that reached the new incarnation has a lease computed from the
   // clock of the earlier one.
-  lease_end_ =
-      clock_->Now() + LeaseBound(options_.max_lease) + kStartInTransit;
+  lease_end_ = clock_->Now() + LeaseBound(options_.max_lease) + kStartInTransit;
   WatchLease();
   synced_ = false;
   settling_ = false;
@@ -266,18 +266,18 @@
                        std::function<void(CommandResult)> done) {
   order.fence = fence_;
   order.lease_worker_ms = RenewLease();
-  gateway_->Start(address_, order,
-                  [self = shared_from_this(), fence = fence_,
-                   lease = order.lease_worker_ms, earliest = EarliestClockMs(),
-                   incarnation = incarnation_,
-                   done = std::move(done)](const StartAnswer& answer) {
-                    if (self->closed_) return;
-                    done(answer.result);
-                    if (incarnation == self->incarnation_) {
-                      self->OnStartAnswered(answer, lease, earliest);
-                    }
-                    self->OnCommandResult(answer.result, fence);
-                  });
+  gateway_->Start(
+      address_, order,
+      [self = shared_from_this(), fence = fence_, lease = order.lease_worker_ms,
+       earliest = EarliestClockMs(), incarnation = incarnation_,
+       done = std::move(done)](const StartAnswer& answer) {
+        if (self->closed_) return;
+        done(answer.result);
+        if (incarnation == self->incarnation_) {
+          self->OnStartAnswered(answer, lease, earliest);
+        }
+        self->OnCommandResult(answer.result, fence);
+      });
 }
 
 std::int64_t WorkerLink::EarliestClockMs() const {
--- a/unittests/Node/OddControlRecordTest.cc
+++ b/unittests/Node/OddControlRecordTest.cc
@@ -93,7 +93,8 @@
 TEST_F(OddPeerTest, AnOddAnswerToAQuestionIsNoAdvice) {
   const std::map<std::string, std::string> nodes = {{"b", "b:7000"}};
   SilentAdvisor local;
-  AdviceRelay relay(&local, &peers, [&]() -> const auto& { return nodes; });
+  AdviceRelay relay(
+      &local, &peers, [&]() -> const auto& { return nodes; });
   relay.Advise(kJob, 0, 0, {"w"}, Millis(500), [](const AdviceAnswer&) {});
   // The local advisor is busy now.
   std::optional<AdviceAnswer> advice;
--- a/unittests/Partition/OddStoredRecordTest.cc
+++ b/unittests/Partition/OddStoredRecordTest.cc
@@ -1,5 +1,5 @@
-// Guards against records in the store, of other writers or left by a fault, that
-// end each owner that reads them.
+// Guards against records in the store, of other writers or left by a fault,
+// that end each owner that reads them.
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
--- a/unittests/Partition/SimFleet.cc
+++ b/unittests/Partition/SimFleet.cc
@@ -364,13 +364,12 @@
                    [done] { done({.result = CommandResult::kOtherWorker}); });
     return;
   }
-  CallWithFault<StartAnswer>(
-      FaultFor(*worker, command.fence),
-      [this, worker, command]() -> StartAnswer {
-        return {.result = DoStart(worker, command),
-                .worker_clock_ms = ClockMs(*worker)};
-      },
-      done, {.result = CommandResult::kUnhealthy}, {});
+  CallWithFault<StartAnswer>(FaultFor(*worker, command.fence),
+                             [this, worker, command]() -> StartAnswer {
+                               return {.result = DoStart(worker, command),
+                                       .worker_clock_ms = ClockMs(*worker)};
+                             },
+                             done, {.result = CommandResult::kUnhealthy}, {});
 }
 
 void SimFleet::Stop(const WorkerAddress& address, const TaskId& task,
--- a/unittests/Partition/TakeOverStaleStateTest.cc
+++ b/unittests/Partition/TakeOverStaleStateTest.cc
@@ -103,8 +103,8 @@
 
 /// A worker's process was restarted at once under its id and has taken a task
 /// whose lease was computed from the clock of the incarnation before, so that
-/// it lasts as long as the worker allows. The owner has noticed the restart, and
-/// the directory shows it.
+/// it lasts as long as the worker allows. The owner has noticed the restart,
+/// and the directory shows it.
 class LongLeaseTest : public ::testing::Test {
  protected:
   /// Between the limit of the worker and the lease that owners give.
--- a/unittests/Partition/UnnoticedRestartTest.cc
+++ b/unittests/Partition/UnnoticedRestartTest.cc
@@ -93,8 +93,8 @@
   EXPECT_EQ(sim.fleet.StartedRuns(), 12);
 }
 
-// The next incarnation may run on other hardware: tasks were started there by the
-// labels of the one before.
+// The next incarnation may run on other hardware: tasks were started there by
+// the labels of the one before.
 TEST_F(UnnoticedRestartTest, ARequiredLabelIsThatOfThePresentIncarnation) {
   const std::string key = "workers/" + worker;
   Json entry = Json::parse(sim.store.Value(key));
--- a/unittests/Platform/ClientErrorTest.cc
+++ b/unittests/Platform/ClientErrorTest.cc
@@ -30,29 +30,30 @@
         CatalogListener{.on_catalog =
                             [](const std::shared_ptr<const Catalog>&) {},
                         .on_wave = [](const MaintenanceWave&) {},
-                        .peers = [this]() -> const auto& { return nobody; }});
-    catalogs->Begin();
-    timers.Run(Millis(100));
-  }
+                        .peers = [this]() -> const auto& { return nobody;
+  }});
+catalogs->Begin();
+timers.Run(Millis(100));
+}  // namespace
 
-  HttpResponse Submit(const std::string& body) {
-    ClientApi api(nullptr, catalogs, &timers);
-    HttpResponse given{.status = 0, .body = {}};
-    api.Serve({.method = "POST",
-               .target = "/q/00000000000000a1",
-               .headers = {{"Host", "host"}},
-               .body = body},
-              [&given](const HttpResponse& response) { given = response; });
-    return given;
-  }
+HttpResponse Submit(const std::string& body) {
+  ClientApi api(nullptr, catalogs, &timers);
+  HttpResponse given{.status = 0, .body = {}};
+  api.Serve({.method = "POST",
+             .target = "/q/00000000000000a1",
+             .headers = {{"Host", "host"}},
+             .body = body},
+            [&given](const HttpResponse& response) { given = response; });
+  return given;
+}
 
-  SimTimers timers;
-  SimStore store{&timers};
-  Formats formats;
-  NoPeers peers;
-  std::map<std::string, std::string> nobody;
-  std::shared_ptr<CatalogKeeper> catalogs;
-};
+SimTimers timers;
+SimStore store{&timers};
+Formats formats;
+NoPeers peers;
+std::map<std::string, std::string> nobody;
+std::shared_ptr<CatalogKeeper> catalogs;
+};  // namespace basilusher::platform
 
 TEST_F(ClientErrorTest, ASubmissionThatIsNotUtf8IsRejected) {
   for (const char* body :
--- a/unittests/Platform/OddAnswerTest.cc
+++ b/unittests/Platform/OddAnswerTest.cc
@@ -23,13 +23,13 @@
  protected:
   OddAnswerTest()
       : address(FreeAddress(&loop)),
-        server(&loop, {.address = address},
-               [this](const HttpRequest& request,
-                      const HttpResponder& respond) {
-                 targets.push_back(request.target);
-                 respond(answers.front());
-                 if (answers.size() > 1) answers.pop_front();
-               }),
+        server(
+            &loop, {.address = address},
+            [this](const HttpRequest& request, const HttpResponder& respond) {
+              targets.push_back(request.target);
+              respond(answers.front());
+              if (answers.size() > 1) answers.pop_front();
+            }),
         http(&loop, {}) {}
 
   void Answer(int status, const std::string& body) {
--- a/unittests/Platform/OddEntryTest.cc
+++ b/unittests/Platform/OddEntryTest.cc
@@ -66,9 +66,8 @@
         "-1e30", "\"5\"", "true"}) {
     EXPECT_FALSE(IsRead("w-1", EntryWith("RemainingMs", number))) << number;
     EXPECT_FALSE(IsRead("w-1", EntryWith("born", number))) << number;
-    EXPECT_FALSE(IsRead("w-1", EntryWith("Room", "{\"Cpu\":" +
-                                                     std::string(number) +
-                                                     "}")))
+    EXPECT_FALSE(IsRead(
+        "w-1", EntryWith("Room", "{\"Cpu\":" + std::string(number) + "}")))
         << number;
   }
 }
@@ -106,9 +105,9 @@
     EXPECT_FALSE(IsRead("w-1", EntryWith(field, text))) << field;
   }
   EXPECT_FALSE(IsRead("w-1", EntryWith("Labels", "[" + text + "]")));
-  EXPECT_FALSE(IsRead("w-1", EntryWith("Labels", Json(std::vector<std::string>(
-                                                          5000, "a"))
-                                                     .dump())));
+  EXPECT_FALSE(IsRead(
+      "w-1",
+      EntryWith("Labels", Json(std::vector<std::string>(5000, "a")).dump())));
 }
 
 TEST(OddEntryTest, BytesThatAreNoTextNameNoWorker) {
