Bound the numbers of a submission and its occurrences in progress

Cause: the library's getters cut numbers, and nothing bounded how many occurrences are in progress.

Occurrences are opened while the tasks of those in progress stay within the limit for one job (20,000), at least one; the next ones follow when others are done. The owner opens up to twice as many to find a run that an earlier owner has started.

--- a/include/basilusher/Jobs/Job.h
+++ b/include/basilusher/Jobs/Job.h
@@ -2,6 +2,7 @@
 #ifndef BASILUSHER_JOBS_JOB_H_
 #define BASILUSHER_JOBS_JOB_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -126,6 +127,10 @@
 /// Parses FormatTaskId's form; nothing if `text` has another. Thread-safe.
 std::optional<TaskId> ParseTaskId(std::string_view text);
 
+/// How many occurrences of the job may be in progress at the same time: their
+/// records have to fit into memory. Thread-safe.
+std::size_t MaxOpenOccurrences(const JobSpec& job);
+
 /// Returns why the job description is invalid, or an empty string if it is
 /// valid. Thread-safe.
 std::string ValidateJob(const JobSpec& job);
--- a/include/basilusher/Jobs/JobTable.h
+++ b/include/basilusher/Jobs/JobTable.h
@@ -153,8 +153,10 @@
   std::unordered_map<std::string, std::unique_ptr<JobRecord>> jobs_;
 };
 
-/// Adds the occurrences that are due at `unix_ms`. Returns true if at least
-/// one was added.
+/// Adds the occurrences that are due at `unix_ms` while fewer than `most` are
+/// in progress. Returns true if at least one was added.
+bool OpenDueOccurrences(JobRecord* job, std::int64_t unix_ms, std::size_t most);
+/// The same with MaxOpenOccurrences().
 bool OpenDueOccurrences(JobRecord* job, std::int64_t unix_ms);
 /// True if all steps on which `step` depends are done.
 bool StepReady(const JobRecord& job, const OccurrenceRecord& occurrence,
--- a/include/basilusher/Support/Json.h
+++ b/include/basilusher/Support/Json.h
@@ -35,8 +35,8 @@
 Json ParseJson(const std::string& text, const std::string& source,
                ResultCode code);
 
-/// The whole number that `value` holds; nothing if it is no number or out of
-/// the type's range. Thread-safe.
+/// The number that `value` holds, without a fraction; nothing if it is no
+/// number or out of the type's range. Thread-safe.
 std::optional<std::int64_t> IntegerOf(const Json& value);
 
 /// The field `name` of `in`, or `fallback` if `in` is no object, has no such
--- a/lib/Jobs/Job.cc
+++ b/lib/Jobs/Job.cc
@@ -114,6 +114,13 @@
   return id;
 }
 
+std::size_t MaxOpenOccurrences(const JobSpec& job) {
+  std::int64_t tasks = 0;
+  for (const StepSpec& step : job.steps) tasks += step.count;
+  return static_cast<std::size_t>(std::max<std::int64_t>(
+      1, kMaxTasksPerJob / std::max<std::int64_t>(1, tasks)));
+}
+
 std::string ValidateJob(const JobSpec& job) {
   if (job.steps.empty()) return "a job needs at least one step";
   if (job.steps.size() > kMaxSteps) return "too many steps";
--- a/lib/Jobs/JobTable.cc
+++ b/lib/Jobs/JobTable.cc
@@ -116,11 +116,12 @@
   return step == nullptr ? nullptr : TaskIn(step, id);
 }
 
-bool OpenDueOccurrences(JobRecord* job, std::int64_t unix_ms) {
+bool OpenDueOccurrences(JobRecord* job, std::int64_t unix_ms,
+                        std::size_t most) {
   bool opened = false;
   if (IsFinal(job->state)) return false;
   const int times = std::max(1, job->spec.times);
-  while (job->next_occurrence < times) {
+  while (job->next_occurrence < times && job->occurrences.size() < most) {
     const std::int64_t due = job->spec.start_at_unix_ms +
                              job->next_occurrence * job->spec.interval_ms;
     if (job->spec.times > 0 && due > unix_ms) break;
@@ -131,6 +132,10 @@
   return opened;
 }
 
+bool OpenDueOccurrences(JobRecord* job, std::int64_t unix_ms) {
+  return OpenDueOccurrences(job, unix_ms, MaxOpenOccurrences(job->spec));
+}
+
 bool StepReady(const JobRecord& job, const OccurrenceRecord& occurrence,
                int step) {
   const StepSpec& spec = job.spec.steps[static_cast<std::size_t>(step)];
--- a/lib/Partition/OwnerReconciliation.cc
+++ b/lib/Partition/OwnerReconciliation.cc
@@ -210,8 +210,10 @@
 
 void PartitionOwner::OpenReportedOccurrence(JobRecord* job, const TaskId& id) {
   if (id.occurrence < job->next_occurrence) return;
+  // The earlier owner may have opened it when others were done.
   OpenDueOccurrences(
-      job, job->spec.start_at_unix_ms + id.occurrence * job->spec.interval_ms);
+      job, job->spec.start_at_unix_ms + id.occurrence * job->spec.interval_ms,
+      2 * MaxOpenOccurrences(job->spec));
 }
 
 void PartitionOwner::StoreEnds(WorkerState* worker, const EndBatch& ends) {
--- a/unittests/Jobs/JobTableTest.cc
+++ b/unittests/Jobs/JobTableTest.cc
@@ -32,6 +32,24 @@
   EXPECT_EQ(ApplyEnd(job, Failed(2), "w2", 3), EndEffect::kJobFailed);
 }
 
+// A job with two billion occurrences that are due at once took all memory.
+TEST(JobTableTest, OccurrencesBeyondTheLimitOpenOnceOthersAreDone) {
+  JobTable table;
+  JobSpec spec = MakeSpec(1);
+  spec.times = 2000000000;
+  const std::size_t most = MaxOpenOccurrences(spec);
+  JobRecord* job = table.Add(spec, TimePoint{});
+  OpenDueOccurrences(job, 1);
+  ASSERT_EQ(job->occurrences.size(), most);
+  EXPECT_FALSE(OpenDueOccurrences(job, 1));
+  EndedTask done = Failed(1);
+  done.kind = EndKind::kDone;
+  ApplyEnd(job, done, "w1", 3);
+  EXPECT_TRUE(OpenDueOccurrences(job, 1));
+  EXPECT_EQ(job->occurrences.size(), most);
+  EXPECT_EQ(job->next_occurrence, static_cast<int>(most) + 1);
+}
+
 TEST(JobTableTest, ProgressRoundTripsThroughStoredForm) {
   JobTable table;
   JobRecord* job = table.Add(MakeSpec(10), TimePoint{});
--- a/unittests/Platform/OddEntryTest.cc
+++ b/unittests/Platform/OddEntryTest.cc
@@ -136,6 +136,14 @@
     EXPECT_THROW(submit(R"({"Count":1,"Cpu":)" + std::string(cpu) + "}"), Error)
         << cpu;
   }
+  // Cut to 32 bits it would be one task.
+  EXPECT_THROW(submit(R"({"Count":4294967297})"), Error);
+  for (const char* field :
+       {"EstimateMs", "TargetMs", "MaxPerServer", "MaxUnavailable"}) {
+    EXPECT_THROW(submit(R"({"Count":1,")" + std::string(field) + R"(":1e30})"),
+                 Error)
+        << field;
+  }
   EXPECT_THROW(submit(Nested(kDeep)), Error);
 }
 
