--- a/lib/Partition/WorkerLink.cc
+++ b/lib/Partition/WorkerLink.cc
@@ -106,12 +106,12 @@
   const std::int64_t fence = fence_;
   // A poll that went unanswered may have renewed the leases all the same. After
   // a failed poll none renews them until one succeeds, so that all expire at a
-  // known time.
-  const bool renew = !InDoubt();
-  // A new incarnation would forget as many of its own ends.
+  // known time. Nor is anything acknowledged: a new incarnation would forget as
+  // many of its own ends.
+  const bool known = !InDoubt();
   const HoldCommand order = {.fence = fence,
-                             .seen_up_to = InDoubt() ? 0 : acknowledged_,
-                             .lease_worker_ms = renew ? RenewLease() : 0,
+                             .seen_up_to = known ? acknowledged_ : 0,
+                             .lease_worker_ms = known ? RenewLease() : 0,
                              .wait = wait};
   gateway_->Hold(address_, order,
                  [self = shared_from_this(), sent_at, fence,
