Fakes: owners that alone do not hear the store, workers that a former owner does not reach

Each simulated owner has its own connection to the store, so that it can be cut off while its successor works (StoreConnection, moved from IncompleteStateTest). A worker may be out of reach below a fencing token, as it could be from one on. With BASILUSHER_TRACE the owners' log goes to standard error with the virtual time.

--- a/unittests/Partition/FleetSim.cc
+++ b/unittests/Partition/FleetSim.cc
@@ -1,13 +1,30 @@
 // The simulation as a whole, and the formats of its directory.
 #include "FleetSim.h"
 
+#include <cstdlib>
+#include <iostream>
+
 #include "basilusher/Support/Json.h"
+#include "basilusher/Support/Log.h"
 
 namespace basilusher {
 namespace {
 
 constexpr Millis kPeerLatency{2};
 
+/// Writes log lines with the virtual time.
+class TraceSink : public LogSink {
+ public:
+  explicit TraceSink(const SimTimers* timers) : timers_(timers) {}
+  void Write(LogLevel, const std::string& line) override {
+    std::cerr << timers_->Now().time_since_epoch().count() << ' ' << line
+              << '\n';
+  }
+
+ private:
+  const SimTimers* timers_;
+};
+
 }  // namespace
 
 std::string SimFormats::WaveStatusKey(std::int64_t wave) const {
@@ -45,6 +62,9 @@
 }
 
 FleetSim::FleetSim() {
+  if (std::getenv("BASILUSHER_TRACE") != nullptr) {
+    OpenLogOn("sim", LogLevel::kInfo, std::make_unique<TraceSink>(&timers));
+  }
   catalog.version = 1;
   catalog.pools["pool"] = {.name = "pool"};
   catalog.pools["spare"] = {.name = "spare", .spare = true};
@@ -59,6 +79,7 @@
 FleetSim::~FleetSim() {
   if (owner != nullptr) owner->Close();
   for (const std::shared_ptr<PartitionOwner>& old : former_owners) old->Close();
+  CloseLog();
 }
 
 void FleetSim::BeginTerm(bool close_former) {
@@ -69,9 +90,11 @@
   }
   const RecordKeys keys;
   ++term_;
+  std::unique_ptr<StoreConnection>& connection = connections[term_];
+  connection = std::make_unique<StoreConnection>(&timers, &store);
   const std::int64_t revision = store.Put(keys.owner, std::to_string(term_));
   owner = std::make_shared<PartitionOwner>(
-      OwnerDependencies{.store = &store,
+      OwnerDependencies{.store = connection.get(),
                         .workers = &fleet,
                         .instances = &fleet,
                         .advisor = advisor,
@@ -89,7 +112,8 @@
                 // at a store that answers it.
                 const bool answered = store.fault != SimFault::kRequestLost &&
                                       store.fault != SimFault::kRefused;
-                if (can_confirm_term && answered && term == term_) {
+                if (can_confirm_term && answered && term == term_ &&
+                    !connections[term]->cut) {
                   confirmed_at_[term] = timers.Now();
                 }
                 return confirmed_at_[term] + Millis(1500);
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -112,6 +112,33 @@
   std::int64_t compacted_ = 0;
 };
 
+/// One node's connection to the store, which can be cut while others reach it.
+class StoreConnection : public TransactionalStore {
+ public:
+  StoreConnection(SimTimers* timers, SimStore* store)
+      : timers_(timers), store_(store) {}
+
+  void Get(const std::string& key, StoreAnswerCallback done) override;
+  void List(const std::string& prefix, StoreAnswerCallback done) override;
+  void Watch(const std::string& prefix, std::int64_t revision, Millis wait,
+             StoreAnswerCallback done) override;
+  void Commit(const Txn& txn, StoreAnswerCallback done) override;
+  void GrantLease(Millis ttl, StoreAnswerCallback done) override;
+  void KeepLease(std::int64_t lease, StoreAnswerCallback done) override;
+  void EndLease(std::int64_t lease, StoreAnswerCallback done) override;
+
+  bool cut = false;
+
+ private:
+  /// Times the call out and returns true if the connection is cut.
+  bool FailIfCut(const StoreAnswerCallback& done);
+  /// Loses answers that arrive after the cut.
+  StoreAnswerCallback Guard(const StoreAnswerCallback& done);
+
+  SimTimers* timers_;
+  SimStore* store_;
+};
+
 /// One incarnation of a worker, with its tasks and its lease.
 struct SimWorker {
   struct Run {
@@ -146,6 +173,8 @@
   bool hangs = false;
   /// Calls with this fencing token or a higher one do not reach the worker.
   std::optional<std::int64_t> unreachable_from_fence;
+  /// Calls with a lower fencing token do not reach the worker.
+  std::optional<std::int64_t> unreachable_below_fence;
   /// Highest fencing token seen.
   std::int64_t fence = 0;
   /// End of the lease on the worker's clock.
@@ -321,7 +350,8 @@
   std::string EncodeWaveStatus(bool finished) const override;
 };
 
-/// Store, fleet and owners. One owner is current; BeginTerm() replaces it.
+/// Store, fleet and owners. One owner is current; BeginTerm() replaces it. With
+/// BASILUSHER_TRACE in the environment the owners' log goes to standard error.
 class FleetSim {
  public:
   FleetSim();
@@ -355,6 +385,9 @@
   LongLeases former_leases;
   /// The current owner can confirm its term.
   bool can_confirm_term = true;
+  /// Connection to the store of the owner of each term. An owner that is cut
+  /// off cannot confirm its term.
+  std::map<std::int64_t, std::unique_ptr<StoreConnection>> connections;
 
  private:
   void CloseDeposedOwner(std::int64_t term);
--- a/unittests/Partition/IncompleteStateTest.cc
+++ b/unittests/Partition/IncompleteStateTest.cc
@@ -9,55 +9,6 @@
 namespace basilusher {
 namespace {
 
-/// One node's connection to the store, which can be cut while others reach it.
-class StoreConnection : public TransactionalStore {
- public:
-  StoreConnection(SimTimers* timers, SimStore* store)
-      : timers_(timers), store_(store) {}
-
-  void Get(const std::string& key, StoreAnswerCallback done) override {
-    if (!FailIfCut(done)) store_->Get(key, Guard(done));
-  }
-  void List(const std::string& prefix, StoreAnswerCallback done) override {
-    if (!FailIfCut(done)) store_->List(prefix, Guard(done));
-  }
-  void Watch(const std::string& prefix, std::int64_t revision, Millis wait,
-             StoreAnswerCallback done) override {
-    if (!FailIfCut(done)) store_->Watch(prefix, revision, wait, Guard(done));
-  }
-  void Commit(const Txn& txn, StoreAnswerCallback done) override {
-    if (!FailIfCut(done)) store_->Commit(txn, Guard(done));
-  }
-  void GrantLease(Millis ttl, StoreAnswerCallback done) override {
-    if (!FailIfCut(done)) store_->GrantLease(ttl, Guard(done));
-  }
-  void KeepLease(std::int64_t lease, StoreAnswerCallback done) override {
-    if (!FailIfCut(done)) store_->KeepLease(lease, Guard(done));
-  }
-  void EndLease(std::int64_t lease, StoreAnswerCallback done) override {
-    if (!FailIfCut(done)) store_->EndLease(lease, Guard(done));
-  }
-
-  bool cut = false;
-
- private:
-  /// Times the call out and returns true if the connection is cut.
-  bool FailIfCut(const StoreAnswerCallback& done) {
-    if (!cut) return false;
-    timers_->After(Millis(450), [done] { done({.status = TxnStatus::kLost}); });
-    return true;
-  }
-  /// Loses answers that arrive after the cut.
-  StoreAnswerCallback Guard(const StoreAnswerCallback& done) {
-    return [this, done](const StoreAnswer& answer) {
-      if (!FailIfCut(done)) done(answer);
-    };
-  }
-
-  SimTimers* timers_;
-  SimStore* store_;
-};
-
 constexpr const char* kJob = "00000000000000a1";
 constexpr const char* kOther = "00000000000000a2";
 constexpr std::int64_t kFencesPerTerm = 1000000;
--- a/unittests/Partition/SimFleet.cc
+++ b/unittests/Partition/SimFleet.cc
@@ -260,8 +260,10 @@
 }
 
 SimFault SimFleet::FaultFor(const SimWorker& worker, std::int64_t fence) {
-  const bool unreachable =
-      worker.unreachable_from_fence && fence >= *worker.unreachable_from_fence;
+  const bool unreachable = (worker.unreachable_from_fence &&
+                            fence >= *worker.unreachable_from_fence) ||
+                           (worker.unreachable_below_fence &&
+                            fence < *worker.unreachable_below_fence);
   return !worker.alive || unreachable ? SimFault::kRequestLost : worker.fault;
 }
 
--- a/unittests/Partition/SimStore.cc
+++ b/unittests/Partition/SimStore.cc
@@ -182,4 +182,42 @@
   return it == items_.end() ? std::string() : it->second.value;
 }
 
+// Connection to the store.
+
+bool StoreConnection::FailIfCut(const StoreAnswerCallback& done) {
+  if (!cut) return false;
+  timers_->After(kCallTimeout, [done] { done({.status = TxnStatus::kLost}); });
+  return true;
+}
+
+StoreAnswerCallback StoreConnection::Guard(const StoreAnswerCallback& done) {
+  return [this, done](const StoreAnswer& answer) {
+    if (!FailIfCut(done)) done(answer);
+  };
+}
+
+void StoreConnection::Get(const std::string& key, StoreAnswerCallback done) {
+  if (!FailIfCut(done)) store_->Get(key, Guard(done));
+}
+void StoreConnection::List(const std::string& prefix,
+                           StoreAnswerCallback done) {
+  if (!FailIfCut(done)) store_->List(prefix, Guard(done));
+}
+void StoreConnection::Watch(const std::string& prefix, std::int64_t revision,
+                            Millis wait, StoreAnswerCallback done) {
+  if (!FailIfCut(done)) store_->Watch(prefix, revision, wait, Guard(done));
+}
+void StoreConnection::Commit(const Txn& txn, StoreAnswerCallback done) {
+  if (!FailIfCut(done)) store_->Commit(txn, Guard(done));
+}
+void StoreConnection::GrantLease(Millis ttl, StoreAnswerCallback done) {
+  if (!FailIfCut(done)) store_->GrantLease(ttl, Guard(done));
+}
+void StoreConnection::KeepLease(std::int64_t lease, StoreAnswerCallback done) {
+  if (!FailIfCut(done)) store_->KeepLease(lease, Guard(done));
+}
+void StoreConnection::EndLease(std::int64_t lease, StoreAnswerCallback done) {
+  if (!FailIfCut(done)) store_->EndLease(lease, Guard(done));
+}
+
 }  // namespace basilusher
