--- a/unittests/Partition/FleetSim.cc
+++ b/unittests/Partition/FleetSim.cc
@@ -43,7 +43,7 @@
   WorkerEntry entry;
   entry.id = key.substr(WorkerPrefix().size());
   entry.pool = in.value("pool", "");
-  entry.address = entry.id + ":1";
+  entry.address = in.value("address", entry.id + ":1");
   entry.room = {.cpu_millis = in.value("cpu", std::int64_t{0}),
                 .memory_mb = in.value("memory", std::int64_t{0})};
   entry.draining = in.value("draining", false);
@@ -96,7 +96,7 @@
   owner = std::make_shared<PartitionOwner>(
       OwnerDependencies{.store = connection.get(),
                         .workers = &fleet,
-                        .instances = &fleet,
+                        .instances = instances,
                         .advisor = advisor,
                         .timers = &timers,
                         .clock = &timers,
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -155,6 +155,8 @@
   };
   std::string id;
   std::string pool;
+  /// Where it listens; if empty, an address of its own that is named after it.
+  std::string address;
   Resources room{.cpu_millis = 32000, .memory_mb = 65536};
   bool alive = true;
   /// Another worker listens at the address of this dead one.
@@ -162,6 +164,8 @@
   /// Fault injected into the owner's calls; kRefused and kDelayed do not apply
   /// to Hold.
   SimFault fault = SimFault::kNone;
+  /// Calls to Hold time out and take effect seconds later.
+  bool delays_holds = false;
   /// Every task that starts on the worker fails.
   bool fails_all_tasks = false;
   /// Tail latency of serving tasks without fillers, and its increase for each
@@ -190,6 +194,9 @@
   std::map<TaskId, std::int64_t> highest_run;
 };
 
+/// Where the worker listens.
+std::string AddressOf(const SimWorker& worker);
+
 /// Simulated workers and instances. An instance runs at most one worker, and
 /// none after a move to the spare pool.
 class SimFleet : public WorkerGateway, public InstanceProvider {
@@ -228,6 +235,9 @@
   void SetRoom(const std::string& id, const Resources& room);
   /// Crashes the worker and removes its instance for good.
   void Remove(const std::string& id);
+  /// The worker listens at another address from now on. Its directory entry
+  /// shows it.
+  void ChangeAddress(const std::string& id, const std::string& address);
   /// Marks the worker as draining in its directory entry.
   void Drain(const std::string& id);
   SimWorker* Find(const std::string& id);
@@ -288,7 +298,8 @@
   void WriteDirectoryEntry(const SimWorker& worker, bool draining);
   CommandResult DoStart(SimWorker* worker, const StartCommand& command);
   HoldAnswer DoHold(SimWorker* worker, const HoldCommand& command);
-  void WaitHold(const std::string& id, HoldCommand command, TimePoint until,
+  void WaitHold(const WorkerAddress& address, HoldCommand command,
+                TimePoint until,
                 const std::function<void(const HoldAnswer&)>& done);
   void EndDueRuns(SimWorker* worker);
   void EndRun(SimWorker* worker, const TaskId& task, EndKind kind);
@@ -303,7 +314,8 @@
   void BreakGang(const TaskId& lost, const std::string& lost_worker);
   /// Fault for a call with this token; requests to a dead or unreachable worker
   /// are lost.
-  static SimFault FaultFor(const SimWorker& worker, std::int64_t fence);
+  static SimFault FaultFor(const SimWorker& worker,
+                           const WorkerAddress& address, std::int64_t fence);
   template <typename Result>
   void CallWithFault(SimFault fault, std::function<Result()> effect,
                      std::function<void(Result)> done, Result refused,
@@ -377,7 +389,9 @@
   SimStore store{&timers};
   SimFleet fleet{&timers, &store};
   SimFormats formats;
+  /// What later owners use.
   PlacementAdvisor* advisor = nullptr;
+  InstanceProvider* instances = &fleet;
   Catalog catalog;
   std::shared_ptr<PartitionOwner> owner;
   std::vector<std::shared_ptr<PartitionOwner>> former_owners;
--- a/unittests/Partition/SimFleet.cc
+++ b/unittests/Partition/SimFleet.cc
@@ -51,6 +51,7 @@
 void SimFleet::WriteDirectoryEntry(const SimWorker& worker, bool draining) {
   store_->Put("workers/" + worker.id,
               Json({{"pool", worker.pool},
+                    {"address", AddressOf(worker)},
                     {"cpu", worker.room.cpu_millis},
                     {"memory", worker.room.memory_mb},
                     {"draining", draining},
@@ -137,6 +138,12 @@
   instances_.erase("m-" + id);
 }
 
+void SimFleet::ChangeAddress(const std::string& id,
+                             const std::string& address) {
+  Find(id)->address = address;
+  WriteDirectoryEntry(*Find(id), false);
+}
+
 void SimFleet::Drain(const std::string& id) {
   WriteDirectoryEntry(*Find(id), true);
 }
@@ -259,11 +266,17 @@
   }
 }
 
-SimFault SimFleet::FaultFor(const SimWorker& worker, std::int64_t fence) {
+std::string AddressOf(const SimWorker& worker) {
+  return worker.address.empty() ? worker.id + ":1" : worker.address;
+}
+
+SimFault SimFleet::FaultFor(const SimWorker& worker,
+                            const WorkerAddress& address, std::int64_t fence) {
   const bool unreachable = (worker.unreachable_from_fence &&
                             fence >= *worker.unreachable_from_fence) ||
                            (worker.unreachable_below_fence &&
-                            fence < *worker.unreachable_below_fence);
+                            fence < *worker.unreachable_below_fence) ||
+                           address.address != AddressOf(worker);
   return !worker.alive || unreachable ? SimFault::kRequestLost : worker.fault;
 }
 
@@ -366,7 +379,7 @@
                    [done] { done({.result = CommandResult::kOtherWorker}); });
     return;
   }
-  CallWithFault<StartAnswer>(FaultFor(*worker, command.fence),
+  CallWithFault<StartAnswer>(FaultFor(*worker, address, command.fence),
                              [this, worker, command]() -> StartAnswer {
                                return {.result = DoStart(worker, command),
                                        .worker_clock_ms = ClockMs(*worker)};
@@ -390,7 +403,7 @@
                        const std::function<void(CommandResult)>& done) {
   SimWorker* worker = Find(address.id);
   CallWithFault<CommandResult>(
-      FaultFor(*worker, fence),
+      FaultFor(*worker, address, fence),
       [this, worker, task, run, fence] {
         if (!worker->alive) return CommandResult::kUnknown;
         EndDueRuns(worker);
@@ -413,7 +426,7 @@
                     std::function<void(CommandResult)> done) {
   SimWorker* worker = Find(address.id);
   CallWithFault<CommandResult>(
-      FaultFor(*worker, fence),
+      FaultFor(*worker, address, fence),
       [worker, task, run, percent, fence] {
         if (fence < worker->fence) return CommandResult::kFenced;
         worker->fence = fence;
@@ -473,15 +486,15 @@
   return answer;
 }
 
-void SimFleet::WaitHold(const std::string& id, HoldCommand command,
+void SimFleet::WaitHold(const WorkerAddress& address, HoldCommand command,
                         TimePoint until,
                         const std::function<void(const HoldAnswer&)>& done) {
-  SimWorker* worker = Find(id);
+  SimWorker* worker = Find(address.id);
   if (worker->address_reused) {
     done({.result = CommandResult::kOtherWorker});
     return;
   }
-  if (FaultFor(*worker, command.fence) == SimFault::kRequestLost) {
+  if (FaultFor(*worker, address, command.fence) == SimFault::kRequestLost) {
     timers_->After(kCallTimeout, [done] { done({}); });
     return;
   }
@@ -491,23 +504,26 @@
     timers_->After(kWorkerLatency, [done, answer] { done(answer); });
     return;
   }
-  timers_->After(Millis(10), [this, id, command, until, done] {
-    WaitHold(id, command, until, done);
+  timers_->After(Millis(10), [this, address, command, until, done] {
+    WaitHold(address, command, until, done);
   });
 }
 
 void SimFleet::Hold(const WorkerAddress& address, const HoldCommand& command,
                     std::function<void(const HoldAnswer&)> done) {
   SimWorker* worker = Find(address.id);
-  if (worker->fault == SimFault::kAnswerLost) {
-    timers_->After(kWorkerLatency, [this, worker, command] {
-      if (worker->alive) DoHold(worker, command);
+  if (worker->fault == SimFault::kAnswerLost || worker->delays_holds) {
+    const Millis delay = worker->delays_holds ? kDelayedBy : kWorkerLatency;
+    timers_->After(delay, [this, worker, address, command] {
+      const bool reached =
+          worker->alive && address.address == AddressOf(*worker);
+      if (reached) DoHold(worker, command);
     });
     timers_->After(kCallTimeout, [done] { done({}); });
     return;
   }
-  timers_->After(kWorkerLatency, [this, id = address.id, command, done] {
-    WaitHold(id, command, timers_->Now() + command.wait, done);
+  timers_->After(kWorkerLatency, [this, address, command, done] {
+    WaitHold(address, command, timers_->Now() + command.wait, done);
   });
 }
 
