--- a/unittests/Partition/SequenceTest.cc
+++ b/unittests/Partition/SequenceTest.cc
@@ -14,9 +14,21 @@
 constexpr int kDefaultSeeds = 300;
 constexpr int kFirstSeed = 20261204;
 constexpr int kEvents = 60;
-/// Number of kinds of events in basic sequences and in wide ones.
+constexpr int kMaxPauseMs = 250;
+/// In sequences with owners in doubt, whose troubles and tasks last for
+/// seconds.
+constexpr int kDoubtEvents = 150;
+constexpr int kDoubtMaxPauseMs = 500;
+/// Number of kinds of events in basic sequences, in wide ones and in those with
+/// owners in doubt.
 constexpr int kBasicKinds = 14;
 constexpr int kWideKinds = 30;
+constexpr int kDoubtKinds = 44;
+/// Time for which an answer of the store confirms an owner's term: no other
+/// owner begins within it, unless the owner has stopped.
+constexpr int kTermLeaseMs = 1500;
+/// Directory entries expire after this much silence.
+constexpr int kEntryExpiryMs = 4500;
 /// Directory entries of live workers return within this time after an outage of
 /// the store.
 constexpr int kEntryReturnsMs = 2000;
@@ -33,23 +45,32 @@
   return text == nullptr ? kFirstSeed : std::atoi(text);
 }
 
+enum class SequenceKind : std::uint8_t { kBasic, kWide, kDoubt };
+
 /// One sequence, determined by its seed.
 class Sequence {
  public:
   /// A wide sequence also has directory entries that expire and return, ends
   /// reported over several polls, refused records, gangs, lasting jobs,
-  /// restarted workers and owners in quick succession.
-  explicit Sequence(std::uint64_t seed, bool wide = false)
-      : random_(seed), wide_(wide) {}
+  /// restarted workers and owners in quick succession. One of doubt also has
+  /// owners that alone do not hear the store beside their successors, workers
+  /// that some owners do not reach, and entries that stay away while the worker
+  /// works.
+  Sequence(std::uint64_t seed, SequenceKind kind)
+      : random_(seed),
+        wide_(kind != SequenceKind::kBasic),
+        doubt_(kind == SequenceKind::kDoubt) {}
 
   void Run() {
     if (wide_) sim_.fleet.max_ends_per_poll = kMaxEndsPerPoll[Pick(4)];
     for (int i = 0; i < 6; ++i) sim_.fleet.AddWorker("pool");
     BeginTerm(/*close_former=*/true);
     sim_.Run(Millis(200));
-    for (int i = 0; i < kEvents; ++i) {
+    const int events = doubt_ ? kDoubtEvents : kEvents;
+    const int max_pause_ms = doubt_ ? kDoubtMaxPauseMs : kMaxPauseMs;
+    for (int i = 0; i < events; ++i) {
       Step();
-      sim_.Run(Millis(Pick(250)));
+      sim_.Run(Millis(Pick(max_pause_ms)));
     }
     ClearFaults();
     sim_.Run(Millis(60000));
@@ -70,7 +91,10 @@
   }
 
   void Step() {
-    const int kind = Pick(wide_ ? kWideKinds : kBasicKinds);
+    const int kind = Pick(doubt_  ? kDoubtKinds
+                          : wide_ ? kWideKinds
+                                  : kBasicKinds);
+    if (kind >= kWideKinds) return DoubtStep(kind);
     if (kind >= kBasicKinds) return WideStep(kind);
     switch (kind) {
       case 0:
@@ -80,7 +104,8 @@
       case 4:
         return Submit();
       case 5:
-        if (!jobs_.empty()) {
+        // An owner in doubt need not hear of a cancellation.
+        if (!jobs_.empty() && !doubt_) {
           const std::string& job = jobs_[static_cast<std::size_t>(
               Pick(static_cast<int>(jobs_.size())))];
           if (sim_.store.Has(RecordKeys().job_prefix + job)) sim_.Cancel(job);
@@ -156,6 +181,111 @@
     }
   }
 
+  void DoubtStep(int kind) {
+    switch (kind) {
+      case 30:
+      case 31:
+      case 32:
+        return CutOwnerOff();
+      case 33:
+      case 34:
+      case 35:
+        return CutWorkerOff();
+      case 36:
+      case 37:
+      case 38:
+        return LoseEntryOfBusyWorker();
+      case 39:
+      case 40:
+        return CutOffFromFormerOwners();
+      case 41:
+        return CutOffFromNextOwner();
+      default:
+        return StopOwnersInTurn();
+    }
+  }
+
+  /// The owner alone does not hear the store. Another one is elected, and in
+  /// half of the cases hears from it later that its term is over.
+  void CutOwnerOff() {
+    if (successor_due_) return;
+    successor_due_ = true;
+    StoreConnection* connection = sim_.connections[term_].get();
+    connection->cut = true;
+    sim_.timers.After(Millis(3000 + Pick(10000)),
+                      [connection] { connection->cut = false; });
+    sim_.timers.After(Millis(kTermLeaseMs + Pick(2500)), [this] {
+      successor_due_ = false;
+      BeginTerm(/*close_former=*/false);
+      if (Pick(2) == 0) AskFormerOwner(Pick(1500));
+    });
+  }
+
+  void AskFormerOwner(int after_ms) {
+    sim_.timers.After(Millis(after_ms), [this, owner = sim_.owner,
+                                         former = sim_.former_owners.back()] {
+      const LongLeases leases = former->FindLongLeases();
+      former->Close();
+      if (owner == sim_.owner) owner->NoteEarlierOwnerStopped(leases);
+    });
+  }
+
+  /// A worker reaches nobody for a while and works on.
+  void CutWorkerOff() {
+    const std::vector<std::string> ids = sim_.fleet.AliveWorkerIds();
+    if (ids.empty()) return;
+    const std::string id = RandomOf(ids);
+    SimWorker* worker = sim_.fleet.Find(id);
+    const std::string key = "workers/" + id;
+    if (worker->fault != SimFault::kNone || !sim_.store.Has(key)) return;
+    worker->fault = SimFault::kRequestLost;
+    const int cut_ms = 500 + Pick(12000);
+    const std::string entry = sim_.store.Value(key);
+    if (cut_ms > kEntryExpiryMs) {
+      sim_.timers.After(Millis(kEntryExpiryMs),
+                        [this, key] { sim_.store.Remove(key); });
+    }
+    sim_.timers.After(Millis(cut_ms), [this, worker, id, entry] {
+      worker->fault = SimFault::kNone;
+      ReturnLater(id, entry, Pick(1000));
+    });
+  }
+
+  /// The entry stays away for longer than an owner waits for its return.
+  void LoseEntryOfBusyWorker() {
+    for (const std::string& id : sim_.fleet.AliveWorkerIds()) {
+      const std::string key = "workers/" + id;
+      if (sim_.fleet.Find(id)->running.empty() || !sim_.store.Has(key))
+        continue;
+      const std::string entry = sim_.store.Value(key);
+      sim_.store.Remove(key);
+      return ReturnLater(id, entry, 2300 + Pick(8000));
+    }
+  }
+
+  /// Makes a worker unreachable for all owners before the current one.
+  void CutOffFromFormerOwners() {
+    const std::vector<std::string> ids = sim_.fleet.AliveWorkerIds();
+    if (ids.empty()) return;
+    SimWorker* worker = sim_.fleet.Find(RandomOf(ids));
+    worker->unreachable_below_fence = term_ * kFencesPerTerm;
+    sim_.timers.After(Millis(1000 + Pick(9000)),
+                      [worker] { worker->unreachable_below_fence.reset(); });
+  }
+
+  void StopOwnersInTurn() {
+    for (int i = 2; i > 0; --i) {
+      if (successor_due_) return;
+      StopOwner();
+      sim_.Run(Millis(Pick(900)));
+    }
+  }
+
+  void StopOwner() {
+    BeginTerm(/*close_former=*/true);
+    sim_.owner->NoteEarlierOwnerStopped(sim_.former_leases);
+  }
+
   /// Directory entries expire, as after missed heartbeats, and return: at once,
   /// so that one answer of the store shows both, soon, or seconds later.
   void ExpireSomeEntries() {
@@ -271,7 +401,8 @@
 
   void Submit() {
     const std::string id = NextId();
-    JobSpec job = FleetSim::MakeJob(id, 1 + Pick(8), 100 + Pick(900));
+    JobSpec job =
+        FleetSim::MakeJob(id, 1 + Pick(8), 100 + Pick(doubt_ ? 8000 : 900));
     if (Pick(2) == 0) {
       job.steps.push_back(job.steps[0]);
       job.steps[1].after = {0};
@@ -316,7 +447,9 @@
   /// In half of the cases the former owner goes on until it learns of the new
   /// term.
   void TakeOver() {
+    if (successor_due_) return;
     const bool stopped = Pick(2) == 0;
+    if (doubt_) return stopped ? StopOwner() : CutOwnerOff();
     BeginTerm(/*close_former=*/stopped);
     if (stopped) sim_.owner->NoteEarlierOwnerStopped(sim_.former_leases);
   }
@@ -327,6 +460,7 @@
     for (const std::string& id : sim_.fleet.AliveWorkerIds()) {
       SimWorker* worker = sim_.fleet.Find(id);
       worker->unreachable_from_fence.reset();
+      worker->unreachable_below_fence.reset();
       worker->fault = SimFault::kNone;
       worker->fails_all_tasks = false;
       worker->hangs = false;
@@ -336,6 +470,9 @@
 
   std::mt19937_64 random_;
   bool wide_;
+  bool doubt_;
+  /// The owner is cut off from the store, and the next one begins soon.
+  bool successor_due_ = false;
   FleetSim sim_;
   std::vector<std::string> jobs_;
   /// Lasting jobs and the number of their tasks.
@@ -345,21 +482,27 @@
   std::int64_t waves_ = 0;
 };
 
-void RunAll(bool wide) {
+void RunAll(SequenceKind kind) {
   const int seeds = Seeds();
   const int first = FirstSeed();
   const bool go_on = std::getenv("BASILUSHER_ALL_FAILURES") != nullptr;
   for (int i = 0; i < seeds; ++i) {
     SCOPED_TRACE("seed " + std::to_string(first + i));
-    Sequence(static_cast<std::uint64_t>(first + i), wide).Run();
+    Sequence(static_cast<std::uint64_t>(first + i), kind).Run();
     if (testing::Test::HasFailure() && !go_on) return;
   }
 }
 
-TEST(SequenceTest, PromisesHoldUnderRandomFaults) { RunAll(/*wide=*/false); }
+TEST(SequenceTest, PromisesHoldUnderRandomFaults) {
+  RunAll(SequenceKind::kBasic);
+}
 
 TEST(SequenceTest, PromisesHoldWhileEntriesLapseAndOwnersChange) {
-  RunAll(/*wide=*/true);
+  RunAll(SequenceKind::kWide);
+}
+
+TEST(SequenceTest, PromisesHoldWhileOwnersAreInDoubt) {
+  RunAll(SequenceKind::kDoubt);
 }
 
 }  // namespace
