--- a/include/basilusher/Partition/OwnerState.h
+++ b/include/basilusher/Partition/OwnerState.h
@@ -22,9 +22,47 @@
 #include "basilusher/Schedule/Pacing.h"
 #include "basilusher/Schedule/Placement.h"
 #include "basilusher/Schedule/Urgency.h"
+#include "basilusher/Support/EnumTable.h"
 
 namespace basilusher {
 
+/// State and queue of a job as shown to clients.
+struct JobStatus {
+  JobState state = JobState::kQueued;
+  std::string queue;
+};
+
+/// Upper bounds of what is left of the leases on workers, by worker id.
+using LongLeases = std::map<std::string, Millis>;
+
+/// What told an owner that a later term has begun.
+enum class DeposedBy : std::uint8_t {
+  kWorkerFence,
+  kInstanceFence,
+  kOwnerRecord,
+  kOwnerRecordGone,
+  kOfferedJob,
+};
+
+inline constexpr EnumTable<DeposedBy, 5> kDeposedByNames = {{
+    {DeposedBy::kWorkerFence, "a worker has seen a higher fencing token"},
+    {DeposedBy::kInstanceFence, "an instance order was fenced"},
+    {DeposedBy::kOwnerRecord, "the owner record has another revision"},
+    {DeposedBy::kOwnerRecordGone, "the owner record is gone"},
+    {DeposedBy::kOfferedJob, "a job was offered to a later term"},
+}};
+
+/// The evidence on which an owner took its term for over.
+struct Deposal {
+  DeposedBy by = DeposedBy::kOwnerRecord;
+  /// Worker, instance or job that told of it, or key of the record.
+  std::string source;
+  /// Fencing token, revision or term of this owner that was compared.
+  std::int64_t ours = 0;
+  /// Revision or term that was found; zero if it was not told.
+  std::int64_t found = 0;
+};
+
 /// A run that was given up but may still use resources of its worker and of its
 /// workspace.
 struct AbandonedRun {
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -26,18 +26,11 @@
 #include "basilusher/Store/StoreWatcher.h"
 #include "basilusher/Store/TransactionalStore.h"
 #include "basilusher/Support/Counters.h"
+#include "basilusher/Support/Json.h"
+#include "basilusher/Support/Log.h"
 
 namespace basilusher {
 
-/// State and queue of a job as shown to clients.
-struct JobStatus {
-  JobState state = JobState::kQueued;
-  std::string queue;
-};
-
-/// Upper bounds of what is left of the leases on workers, by worker id.
-using LongLeases = std::map<std::string, Millis>;
-
 /// Leader that places the fleet's work during one term ("owner" in store keys
 /// and log events). Not thread-safe: I/O thread only.
 class PartitionOwner : public std::enable_shared_from_this<PartitionOwner> {
@@ -89,6 +82,8 @@
   /// Loaded().
   std::optional<int> Pending(const std::string& queue) const;
   std::int64_t Term() const { return options_.term; }
+  /// Why this owner took its term for over, if it did.
+  const std::optional<Deposal>& Deposed() const { return deposal_; }
   /// True if no write of job records is pending or in flight.
   bool RecordsIdle() const { return recorder_->Idle(); }
 
@@ -408,6 +403,20 @@
   /// nothing.
   void DropWorkersWithoutInstance();
 
+  // OwnerLogs.cc.
+  /// What is known of a worker whose runs are taken for over.
+  Json EvidenceOf(const WorkerState& worker) const;
+  /// Logs that runs on the worker are taken for over: `conclusion` tells which
+  /// and why.
+  void LogTakenForOver(LogLevel level, const char* event,
+                       const WorkerState& worker, const Json& conclusion) const;
+  void LogRunStart(const JobRecord& job, const TaskId& id, std::int64_t run,
+                   const WorkerState& worker) const;
+  /// Logs the first evidence and tells the listener.
+  void OnDeposed(const Deposal& deposal);
+  void OnFenced(const std::string& worker);
+  void OnOwnerRecordChanged(std::int64_t found);
+
   void Count(const char* name, std::int64_t n = 1);
   void Observe(const char* name, Millis value);
   WorkerState* FindWorker(const std::string& id);
@@ -448,6 +457,7 @@
   TimePoint began_at_{};
   TimePoint orphaned_runs_until_{};
   std::optional<TimePoint> earlier_owner_stopped_at_;
+  std::optional<Deposal> deposal_;
   /// When the leases have ended that earlier owners may have given on a worker,
   /// where that is later than `orphaned_runs_until_`.
   std::map<std::string, TimePoint> earlier_leases_until_;
--- a/include/basilusher/Partition/Recorder.h
+++ b/include/basilusher/Partition/Recorder.h
@@ -47,8 +47,9 @@
     std::function<JobSnapshot(const std::string& job)> snapshot;
     /// The final record of the job is durable.
     std::function<void(const std::string& job)> on_final;
-    /// The term of another owner has begun.
-    std::function<void()> on_deposed;
+    /// The owner record has the revision `found`, zero if it is gone: the term
+    /// has ended.
+    std::function<void(std::int64_t found)> on_deposed;
   };
 
   Recorder(TransactionalStore* store, TimerService* timers, RecorderKeys keys,
--- a/include/basilusher/Partition/WorkerLink.h
+++ b/include/basilusher/Partition/WorkerLink.h
@@ -60,6 +60,14 @@
 /// worker's clock. Thread-safe.
 Millis LeaseBound(Millis lease);
 
+/// A lease as the worker and as this node see it.
+struct GivenLease {
+  /// End on the worker's clock; zero if no lease is given.
+  std::int64_t end_worker_ms = 0;
+  /// Latest local time at which it can end.
+  TimePoint latest_end{};
+};
+
 /// Link to one worker, over its successive incarnations (process lives under
 /// one worker id). Not thread-safe: I/O thread only. Callbacks must not destroy
 /// any part of the link.
@@ -125,6 +133,13 @@
   /// Latest time at which a run started so far may still be running; zero if no
   /// lease can be valid.
   TimePoint LeaseEnd() const { return lease_end_; }
+  /// LeaseEnd() when all runs were last taken for ended; zero if they never
+  /// were, or had no lease.
+  TimePoint LostLeaseEnd() const { return lost_lease_end_; }
+  /// Lease that a start would carry now.
+  GivenLease NextLease() const;
+  /// When the worker last answered a poll; zero if it has not.
+  TimePoint LastAnswer() const { return last_answer_; }
   /// Number of ends that the worker has reported and has not been allowed to
   /// forget.
   std::int64_t UnacknowledgedEnds() const { return last_end_ - acknowledged_; }
@@ -156,6 +171,8 @@
   void BeginIncarnation(std::int64_t born_unix_ms, const char* reason);
   void ScheduleNextPoll(bool has_new_ends);
   std::int64_t RenewLease();
+  /// All runs there have ended: no lease is valid.
+  void EndLeases();
   void WatchLease();
 
   WorkerGateway* gateway_;
@@ -190,6 +207,7 @@
   std::int64_t max_lease_worker_ms_ = 0;
   TimePoint lease_end_{};
   TimePoint earlier_lease_end_{};
+  TimePoint lost_lease_end_{};
   /// When a poll failed, or a start was answered by the clock of another
   /// incarnation. Zero if a poll has been answered that was sent since.
   TimePoint doubted_at_{};
--- a/include/basilusher/Support/Log.h
+++ b/include/basilusher/Support/Log.h
@@ -60,6 +60,9 @@
 /// Closes the log and flushes it. Call once, after threads have ended.
 void CloseLog();
 
+/// True if a line of this level would be written. Thread-safe.
+bool LogsAt(LogLevel level);
+
 /// Writes one line with the stable event name `event` and `fields` (an object).
 /// Keys, tokens and payloads must not be passed. Does nothing before OpenLog.
 /// Thread-safe.
--- a/lib/Node/NodeAgent.cc
+++ b/lib/Node/NodeAgent.cc
@@ -341,8 +341,18 @@
 
 void NodeAgent::Depose(const char* reason) {
   if (owner_ == nullptr) return;
-  LogEvent(LogLevel::kWarning, "term-ended",
-           {{"term", owner_->Term()}, {"reason", reason}});
+  Json ended = {
+      {"term", owner_->Term()},
+      {"reason", reason},
+      {"incarnation", options_.incarnation},
+      {"confirmed_for_ms", (confirmed_until_ - ports_.clock->Now()).count()}};
+  if (const std::optional<Deposal>& deposal = owner_->Deposed()) {
+    ended["by"] = NameOf(kDeposedByNames, deposal->by);
+    ended["source"] = deposal->source;
+    ended["ours"] = deposal->ours;
+    ended["found"] = deposal->found;
+  }
+  LogEvent(LogLevel::kWarning, "term-ended", ended);
   last_ended_term_ = std::max(last_ended_term_, owner_->Term());
   held_term_ = owner_->Term();
   held_term_ended_at_ = ports_.clock->Now();
--- a/lib/Partition/OwnerCrashes.cc
+++ b/lib/Partition/OwnerCrashes.cc
@@ -47,10 +47,8 @@
   if (worker == nullptr) return;
   Count("workers_lost_total");
   advice_.ForgetWorker(id);
-  LogEvent(LogLevel::kWarning, "worker-lost",
-           {{"worker", id},
-            {"reason", NameOf(kWorkerLossNames, loss)},
-            {"tasks", worker->tasks.size()}});
+  LogTakenForOver(LogLevel::kWarning, "worker-lost", *worker,
+                  {{"reason", NameOf(kWorkerLossNames, loss)}});
   // What the incarnation before has lost is known to have crashed.
   if (worker->reborn) ConfirmCrash(worker);
   CollectLostRuns(worker);
@@ -197,10 +195,8 @@
   const auto in_startup = std::count_if(
       lost_runs.begin(), lost_runs.end(),
       [](const auto& run) { return run.second.worked_for < kStartupPhase; });
-  LogEvent(LogLevel::kWarning, "worker-crashed",
-           {{"worker", worker->capacity.id},
-            {"runs", lost_runs.size()},
-            {"in_startup", in_startup}});
+  LogTakenForOver(LogLevel::kWarning, "worker-crashed", *worker,
+                  {{"runs", lost_runs.size()}, {"in_startup", in_startup}});
   for (const auto& [key, lost] : lost_runs) {
     const auto& [id, run] = key;
     const Millis worked_for = lost.worked_for;
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -423,15 +423,7 @@
   if (job->state == JobState::kQueued) {
     Observe("job_wait_ms", now - job->accepted_at);
   }
-  LogEvent(LogLevel::kInfo, "run-start",
-           {{"task", FormatTaskId(id)},
-            {"run", run},
-            {"worker", worker->capacity.id},
-            {"inherited", job->inherited},
-            {"unread", unread_workers_.size()},
-            {"waited_ms", (now - job->accepted_at).count()},
-            {"free_cpu", worker->capacity.room.cpu_millis -
-                             worker->capacity.used.cpu_millis}});
+  LogRunStart(*job, id, run, *worker);
   const std::string* ticket = advice_.Ticket(
       {.job = id.job, .occurrence = id.occurrence, .step = id.step},
       worker->capacity.id, now);
--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -333,7 +333,9 @@
       // Will be retried. The order may have been carried out.
       return;
     case InstanceResult::kFenced:
-      listener_.on_deposed();
+      OnDeposed({.by = DeposedBy::kInstanceFence,
+                 .source = id,
+                 .ours = options_.term});
       return;
     case InstanceResult::kBusy:
     case InstanceResult::kNotInWave:
--- a/lib/Partition/OwnerReconciliation.cc
+++ b/lib/Partition/OwnerReconciliation.cc
@@ -49,8 +49,12 @@
     if (directory_->FreshAt() < since + kEntryReturnTime) continue;
     if (unread_workers_.contains(id) && MayHoldLongLease(id)) continue;
     // A worker that answers is read to its last end.
-    if (!worker->link->Synced() && unread_workers_.erase(id) > 0) {
-      LogEvent(LogLevel::kWarning, "worker-gone", {{"worker", id}});
+    if (!worker->link->Synced() && unread_workers_.contains(id)) {
+      LogTakenForOver(
+          LogLevel::kWarning, "worker-gone", *worker,
+          {{"reason", "its entry stayed away and it is not read"},
+           {"entry_away_for_ms", (directory_->FreshAt() - since).count()}});
+      unread_workers_.erase(id);
       gave_up_reading_ = true;
       ScheduleDispatch();
     }
@@ -234,9 +238,8 @@
   if (worker == nullptr) return;
   Count("workers_lost_total");
   advice_.ForgetWorker(id);
-  LogEvent(
-      LogLevel::kWarning, "worker-reborn",
-      {{"worker", id}, {"reason", reason}, {"tasks", worker->tasks.size()}});
+  LogTakenForOver(LogLevel::kWarning, "worker-reborn", *worker,
+                  {{"reason", reason}});
   worker->unknown_job_ends.clear();
   worker->deferred_ends.clear();
   UpdateLabels(worker);
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -105,7 +105,8 @@
                     .stored_at = job->final_at};
                 DropIfFinished(id);
               },
-          .on_deposed = [this] { listener_.on_deposed(); }});
+          .on_deposed =
+              [this](std::int64_t found) { OnOwnerRecordChanged(found); }});
 }
 
 PartitionOwner::~PartitionOwner() { Close(); }
@@ -282,7 +283,10 @@
       std::clamp<std::int64_t>(unix_ms - spec.accepted_unix_ms, 0, 600000);
   if (spec.offered_term > options_.term) {
     // The accepting node knows of a later owner.
-    listener_.on_deposed();
+    OnDeposed({.by = DeposedBy::kOfferedJob,
+               .source = id,
+               .ours = options_.term,
+               .found = spec.offered_term});
     return;
   }
   const bool found_at_start = !inbox_->Loaded() && options_.term > 1;
@@ -467,7 +471,7 @@
   for (const StoredItem& item : conflict.items) {
     if (item.key == options_.keys.owner &&
         item.revision != options_.term_revision) {
-      listener_.on_deposed();
+      OnOwnerRecordChanged(item.revision);
       return false;
     }
     if (item.key == key) *revision = item.revision;
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -51,7 +51,7 @@
           .on_lost = [this, id](WorkerLoss loss) { OnWorkerLost(id, loss); },
           .on_new_incarnation =
               [this, id](const char* reason) { OnNewIncarnation(id, reason); },
-          .on_fenced = [this] { listener_.on_deposed(); }});
+          .on_fenced = [this, id] { OnFenced(id); }});
   const auto lease = earlier_leases_until_.find(id);
   if (lease != earlier_leases_until_.end()) {
     worker->link->NoteEarlierLease(lease->second);
@@ -503,10 +503,14 @@
   for (const TaskId& id : vanished) {
     JobRecord* job = jobs_.Find(id.job);
     TaskRecord* task = jobs_.FindTask(id);
-    LogEvent(LogLevel::kInfo, "run-vanished",
-             {{"task", FormatTaskId(id)},
-              {"run", task->run},
-              {"worker", worker->capacity.id}});
+    LogTakenForOver(
+        LogLevel::kInfo, "run-vanished", *worker,
+        {{"task", FormatTaskId(id)},
+         {"run", task->run},
+         {"started", task->started_at != TimePoint{}},
+         {"settled", settled},
+         {"report_age_ms", (deps_.clock->Now() - sent_at).count()},
+         {"start_age_ms", (deps_.clock->Now() - task->sent_at).count()}});
     task->start_outcome_unknown = false;
     ForgetUnconfirmed(id, task->run);
     ReturnToQueue(job, id);
--- a/lib/Partition/Recorder.cc
+++ b/lib/Partition/Recorder.cc
@@ -3,8 +3,6 @@
 
 #include <algorithm>
 
-#include "basilusher/Support/Log.h"
-
 namespace basilusher {
 namespace {
 
@@ -169,11 +167,8 @@
   std::map<std::string, StoredItem> current;
   for (const StoredItem& item : answer.items) current[item.key] = item;
   if (current[keys_.term_key].revision != keys_.term_revision) {
-    LogEvent(LogLevel::kWarning, "owner-deposed",
-             {{"term_revision", keys_.term_revision},
-              {"found", current[keys_.term_key].revision}});
     closed_ = true;
-    listener_.on_deposed();
+    listener_.on_deposed(current[keys_.term_key].revision);
     return;
   }
   // Either an earlier attempt of this batch was carried out and its answer
--- a/lib/Partition/WorkerLink.cc
+++ b/lib/Partition/WorkerLink.cc
@@ -49,8 +49,7 @@
       address_(std::move(address)),
       options_(options),
       listener_(std::move(listener)),
-      fence_(options.first_fence),
-      last_answer_(clock->Now()) {}
+      fence_(options.first_fence) {}
 
 void WorkerLink::Begin() { Poll(kNoWait); }
 
@@ -71,17 +70,27 @@
   Poll(kNoWait);
 }
 
+GivenLease WorkerLink::NextLease() const {
+  if (!clock_known_ || !renewing_) return {};
+  const std::int64_t elapsed = (clock_->Now() - worker_clock_at_).count();
+  const std::int64_t end = worker_clock_ms_ + elapsed + options_.lease.count();
+  return {
+      .end_worker_ms = end,
+      .latest_end = LatestLeaseEnd(worker_clock_at_, worker_clock_ms_, end)};
+}
+
 std::int64_t WorkerLink::RenewLease() {
   if (!clock_known_ || !renewing_) return 0;
-  const std::int64_t elapsed = (clock_->Now() - worker_clock_at_).count();
-  const std::int64_t deadline =
-      worker_clock_ms_ + elapsed + options_.lease.count();
-  max_lease_worker_ms_ = std::max(max_lease_worker_ms_, deadline);
-  lease_end_ =
-      std::max({lease_end_, earlier_lease_end_,
-                LatestLeaseEnd(worker_clock_at_, worker_clock_ms_, deadline)});
+  const GivenLease lease = NextLease();
+  max_lease_worker_ms_ = std::max(max_lease_worker_ms_, lease.end_worker_ms);
+  lease_end_ = std::max({lease_end_, earlier_lease_end_, lease.latest_end});
   WatchLease();
-  return deadline;
+  return lease.end_worker_ms;
+}
+
+void WorkerLink::EndLeases() {
+  lost_lease_end_ = lease_end_;
+  lease_end_ = TimePoint{};
 }
 
 void WorkerLink::WatchLease() {
@@ -92,7 +101,7 @@
     self->lease_watched_ = false;
     if (self->closed_ || self->lease_end_ == TimePoint{}) return;
     if (self->clock_->Now() < self->lease_end_) return self->WatchLease();
-    self->lease_end_ = TimePoint{};
+    self->EndLeases();
     self->synced_ = false;
     self->listener_.on_lost(WorkerLoss::kLeasesExpired);
   });
@@ -143,7 +152,7 @@
       break;
     case CommandResult::kOtherWorker:
       if (synced_ || lease_end_ != TimePoint{}) {
-        lease_end_ = TimePoint{};
+        EndLeases();
         synced_ = false;
         listener_.on_lost(WorkerLoss::kAddressReused);
       }
@@ -233,6 +242,7 @@
   unstored_.clear();
   clock_known_ = false;
   max_lease_worker_ms_ = 0;
+  EndLeases();
   // A start that reached the new incarnation has a lease computed from the
   // clock of the earlier one.
   lease_end_ = clock_->Now() + LeaseBound(options_.max_lease) + kStartInTransit;
@@ -255,7 +265,7 @@
     listener_.on_fenced();
   }
   if (result == CommandResult::kOtherWorker) {
-    lease_end_ = TimePoint{};
+    EndLeases();
     synced_ = false;
     listener_.on_lost(WorkerLoss::kAddressReused);
     SchedulePoll(kRetryDelay);
--- a/lib/Support/Log.cc
+++ b/lib/Support/Log.cc
@@ -49,9 +49,14 @@
   TheLog().reset();
 }
 
+bool LogsAt(LogLevel level) {
+  const OpenedLog* log = TheLog().get();
+  return log != nullptr && level >= log->level;
+}
+
 void LogEvent(LogLevel level, std::string_view event, const Json& fields) {
+  if (!LogsAt(level)) return;
   OpenedLog* log = TheLog().get();
-  if (log == nullptr || level < log->level) return;
   Json line = fields;
   line["time"] = WallMicros();
   line["level"] = NameOf(kLevelNames, level);
