Fakes: runs on workers that nobody calls end on time, in sequences with owners in doubt

A run on a worker that is out of reach ended at the next call only, and as done even if its lease had expired before it was due. The other sequences play as before.

--- a/unittests/Partition/AbsentWorkerTest.cc
+++ b/unittests/Partition/AbsentWorkerTest.cc
@@ -27,6 +27,7 @@
 class AbsentWorkerTest : public ::testing::Test {
  protected:
   AbsentWorkerTest() {
+    sim.fleet.ends_on_time = true;
     // No instance is moved away.
     sim.catalog.pools.erase("spare");
     absent = sim.fleet.AddWorker("pool");
--- a/unittests/Partition/DoubtfulOwnerTest.cc
+++ b/unittests/Partition/DoubtfulOwnerTest.cc
@@ -24,6 +24,7 @@
 class DoubtfulOwnerTest : public ::testing::Test {
  protected:
   DoubtfulOwnerTest() {
+    sim.fleet.ends_on_time = true;
     // No instance is moved away.
     sim.catalog.pools.erase("spare");
     busy = sim.fleet.AddWorker("pool");
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -272,6 +272,10 @@
   Millis command_delay{0};
   /// Time from a task's start until it works at full speed.
   Millis startup{300};
+  /// Runs on workers that nobody calls end when they are due or when their
+  /// lease expires, whichever is first. Otherwise they end at the next call, as
+  /// done if they were due by then.
+  bool ends_on_time = false;
   /// Most ended runs in the answer to one Hold call.
   std::size_t max_ends_per_poll = 500;
   int starts_without_ticket = 0;
@@ -303,6 +307,9 @@
                 const std::function<void(const HoldAnswer&)>& done);
   void EndDueRuns(SimWorker* worker);
   void EndRun(SimWorker* worker, const TaskId& task, EndKind kind);
+  void EndRunAt(SimWorker* worker, const TaskId& task, EndKind kind,
+                TimePoint at);
+  void EndRunsOnTime(SimWorker* worker);
   std::int64_t ClockMs(const SimWorker& worker) const;
   void CheckStart(const SimWorker& worker, const StartCommand& command,
                   const StepSpec& step);
--- a/unittests/Partition/SequenceTest.cc
+++ b/unittests/Partition/SequenceTest.cc
@@ -62,6 +62,7 @@
         doubt_(kind == SequenceKind::kDoubt) {}
 
   void Run() {
+    sim_.fleet.ends_on_time = doubt_;
     if (wide_) sim_.fleet.max_ends_per_poll = kMaxEndsPerPoll[Pick(4)];
     for (int i = 0; i < 6; ++i) sim_.fleet.AddWorker("pool");
     BeginTerm(/*close_former=*/true);
--- a/unittests/Partition/SimFleet.cc
+++ b/unittests/Partition/SimFleet.cc
@@ -172,6 +172,11 @@
 }
 
 void SimFleet::EndRun(SimWorker* worker, const TaskId& task, EndKind kind) {
+  EndRunAt(worker, task, kind, timers_->Now());
+}
+
+void SimFleet::EndRunAt(SimWorker* worker, const TaskId& task, EndKind kind,
+                        TimePoint at) {
   const SimWorker::Run run = worker->running.at(task);
   worker->running.erase(task);
   worker->ended.push_back({.number = ++worker->last_end_number,
@@ -179,12 +184,32 @@
                            .run = run.run,
                            .kind = kind,
                            .checkpoint = run.checkpoint});
-  worker->end_times[worker->last_end_number] = timers_->Now();
+  worker->end_times[worker->last_end_number] = at;
   worker->highest_run[task] = std::max(worker->highest_run[task], run.run);
   if (kind == EndKind::kDone) done_run_[task] = run.run;
 }
 
+void SimFleet::EndRunsOnTime(SimWorker* worker) {
+  const TimePoint now = timers_->Now();
+  const TimePoint lease_end = worker->born_at + Millis(worker->lease_ms);
+  if (lease_end < now) worker->expired_at = lease_end;
+  std::multimap<TimePoint, std::pair<TaskId, EndKind>> ends;
+  for (const auto& [task, run] : worker->running) {
+    const bool hangs = worker->hangs && !run.stopping;
+    const bool lapses = hangs || lease_end < run.ends_at;
+    const EndKind kind = lapses         ? EndKind::kLapsed
+                         : run.stopping ? EndKind::kStopped
+                                        : run.kind;
+    ends.emplace(lapses ? lease_end : run.ends_at, std::pair(task, kind));
+  }
+  for (const auto& [at, end] : ends) {
+    const bool due = end.second == EndKind::kLapsed ? at < now : at <= now;
+    if (due) EndRunAt(worker, end.first, end.second, at);
+  }
+}
+
 void SimFleet::EndDueRuns(SimWorker* worker) {
+  if (ends_on_time) return EndRunsOnTime(worker);
   const TimePoint now = timers_->Now();
   const bool lapsed = ClockMs(*worker) > worker->lease_ms;
   if (lapsed) worker->expired_at = worker->born_at + Millis(worker->lease_ms);
