--- a/unittests/Partition/AbsentWorkerTest.cc
+++ b/unittests/Partition/AbsentWorkerTest.cc
@@ -164,5 +164,43 @@
   sim.store.Put("workers/" + other, entry_of_other);
 }
 
+/// As in IncompleteStateTest: less than the leases that an owner without a word
+/// may give.
+constexpr Millis kBriefly{4500};
+
+/// A worker has died and does not return. What it had waits briefly.
+class DeadWorkerTest : public AbsentWorkerTest {
+ protected:
+  void TearDown() override {
+    EXPECT_EQ(sim.fleet.RunningTasks(kJob), kTasks);
+    EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
+  }
+};
+
+// Its leases and its entry have lapsed while the earlier owner still worked.
+TEST_F(DeadWorkerTest, ItsTasksWaitBrieflyIfItDiedLongBefore) {
+  sim.fleet.SetRoom(other, {.cpu_millis = 1000, .memory_mb = 1000});
+  sim.fleet.Crash(absent);
+  sim.Run(Millis(8000));
+  sim.fleet.SetRoom(other, {.cpu_millis = 32000, .memory_mb = 65536});
+  sim.BeginTerm();
+  sim.Run(kBriefly);
+}
+
+// The earlier owner has stopped as planned: its leases last for 4.1 s.
+TEST_F(DeadWorkerTest, ItsTasksWaitForItsLeasesAfterAPlannedStop) {
+  sim.fleet.Crash(absent);
+  BeginTermAfterPlannedStop();
+  sim.Run(kBriefly);
+}
+
+// The same without an entry.
+TEST_F(DeadWorkerTest, ItsTasksWaitForItsLeasesIfItHadNoEntry) {
+  LoseEntry();
+  sim.fleet.Crash(absent);
+  BeginTermAfterPlannedStop();
+  sim.Run(kBriefly);
+}
+
 }  // namespace
 }  // namespace basilusher
--- a/unittests/Partition/TakeOverStaleStateTest.cc
+++ b/unittests/Partition/TakeOverStaleStateTest.cc
@@ -166,6 +166,14 @@
   sim.Run(kOwnersLeaseIsOver);
 }
 
+// The same if no earlier owner says which leases it gave.
+TEST_F(LongLeaseTest, ALongLeaseThatNobodyToldOfOutlastsThatOfTheNextOwner) {
+  sim.BeginTerm();
+  sim.Run(Millis(500));
+  sim.fleet.Find(worker)->fault = SimFault::kRequestLost;
+  sim.Run(kOwnersLeaseIsOver);
+}
+
 // The same over two changes of the owner.
 TEST_F(LongLeaseTest, AnOwnerThatDidNotReadTheWorkerPassesItsLongLeaseOn) {
   sim.fleet.Find(worker)->fault = SimFault::kRequestLost;
@@ -187,6 +195,40 @@
   sim.Run(kOwnersLeaseIsOver);
 }
 
+// Guards against a duplicate execution: a call to an earlier incarnation, by an
+// owner that is gone, is carried out by the next one. Its lease, computed from
+// the earlier clock, outlasts that of the present owner.
+TEST(TakeOverStaleStateTest, ALateCallLengthensTheLeaseOfTheNextIncarnation) {
+  FleetSim sim;
+  sim.fleet.ends_on_time = true;
+  SetUpFleet(&sim, 1);
+  const std::string worker = sim.fleet.AliveWorkerIds().front();
+  sim.Run(Millis(12000));
+  sim.fleet.Find(worker)->delays_holds = true;
+  sim.Run(Millis(1100));
+  sim.Restart(worker, Millis(20));
+  SimWorker* reborn = sim.fleet.Find(worker);
+  reborn->delays_holds = false;
+  Json entry = Json::parse(sim.store.Value("workers/" + worker));
+  entry["born"] = reborn->born_at.time_since_epoch().count();
+  sim.store.Put("workers/" + worker, entry.dump());
+  // The next owner reaches the worker after the late call.
+  reborn->fault = SimFault::kRequestLost;
+  sim.BeginTerm();
+  sim.owner->NoteEarlierOwnerStopped(sim.former_leases);
+  sim.Run(Millis(3000));
+  reborn->fault = SimFault::kNone;
+  sim.Run(Millis(1000));
+  sim.Submit(FleetSim::MakeJob(kJob, 1, 20000));
+  sim.Run(Millis(300));
+  ASSERT_EQ(WorkerRunning(&sim, kJob), worker);
+  sim.fleet.AddWorker("pool");
+  sim.Run(Millis(300));
+  reborn->fault = SimFault::kRequestLost;
+  sim.Run(Millis(5000));
+  EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
+}
+
 TEST(TakeOverStaleStateTest,
      AStoredEndOfAnEarlierIncarnationAcknowledgesNoLaterEnd) {
   FleetSim sim;
