--- a/unittests/Partition/AbsentWorkerTest.cc
+++ b/unittests/Partition/AbsentWorkerTest.cc
@@ -111,6 +111,8 @@
 // the third one does not know of it.
 TEST_F(AbsentWorkerTest, ASecondOwnerForgetsTheWorker) {
   LoseEntry();
+  // A poll renews the leases just before the worker is cut off.
+  sim.Run(Millis(300));
   CutOff();
   sim.fleet.Find(other)->fault = SimFault::kRequestLost;
   BeginTermAfterPlannedStop();
