--- a/unittests/Partition/SequenceTest.cc
+++ b/unittests/Partition/SequenceTest.cc
@@ -256,8 +256,8 @@
   void LoseEntryOfBusyWorker() {
     for (const std::string& id : sim_.fleet.AliveWorkerIds()) {
       const std::string key = "workers/" + id;
-      if (sim_.fleet.Find(id)->running.empty() || !sim_.store.Has(key))
-        continue;
+      const bool busy = !sim_.fleet.Find(id)->running.empty();
+      if (!busy || !sim_.store.Has(key)) continue;
       const std::string entry = sim_.store.Value(key);
       sim_.store.Remove(key);
       return ReturnLater(id, entry, 2300 + Pick(8000));
