--- a/unittests/Partition/SequenceTest.cc
+++ b/unittests/Partition/SequenceTest.cc
@@ -62,6 +62,7 @@
         doubt_(kind == SequenceKind::kDoubt) {}
 
   void Run() {
+    sim_.fleet.ends_on_time = doubt_;
     if (wide_) sim_.fleet.max_ends_per_poll = kMaxEndsPerPoll[Pick(4)];
     for (int i = 0; i < 6; ++i) sim_.fleet.AddWorker("pool");
     BeginTerm(/*close_former=*/true);
@@ -255,8 +256,8 @@
   void LoseEntryOfBusyWorker() {
     for (const std::string& id : sim_.fleet.AliveWorkerIds()) {
       const std::string key = "workers/" + id;
-      if (sim_.fleet.Find(id)->running.empty() || !sim_.store.Has(key))
-        continue;
+      const bool busy = !sim_.fleet.Find(id)->running.empty();
+      if (!busy || !sim_.store.Has(key)) continue;
       const std::string entry = sim_.store.Value(key);
       sim_.store.Remove(key);
       return ReturnLater(id, entry, 2300 + Pick(8000));
