--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "basilusher/Jobs/Catalog.h"
@@ -82,6 +83,7 @@
   /// Loaded().
   std::optional<int> Pending(const std::string& queue) const;
   std::int64_t Term() const { return options_.term; }
+  std::size_t UnreadWorkers() const { return unread_workers_.size(); }
   /// Why this owner took its term for over, if it did.
   const std::optional<Deposal>& Deposed() const { return deposal_; }
   /// True if no write of job records is pending or in flight.
@@ -410,6 +412,13 @@
   /// and why.
   void LogTakenForOver(LogLevel level, const char* event,
                        const WorkerState& worker, const Json& conclusion) const;
+  /// Counts `n` runs that are taken for over without a report of their end.
+  void CountTakenForOver(std::string_view reason, std::size_t n);
+  /// Latest end of an earlier owner's lease on an unread worker.
+  TimePoint EarlierLeaseEndOn(const std::string& worker) const;
+  /// Logs when tasks begin or cease to wait for unread workers, and a change of
+  /// the time until which they wait.
+  void ReportTakeOverWait();
   void LogRunStart(const JobRecord& job, const TaskId& id, std::int64_t run,
                    const WorkerState& worker) const;
   /// Logs the first evidence and tells the listener.
@@ -456,6 +465,12 @@
   bool gave_up_reading_ = false;
   TimePoint began_at_{};
   TimePoint orphaned_runs_until_{};
+  /// The previous owner has stopped, and told of its long leases (true) or not.
+  std::optional<bool> previous_told_leases_;
+  /// Since when tasks have waited for unread workers, and until when at most,
+  /// as logged; zero if none waits.
+  TimePoint take_over_wait_since_{};
+  TimePoint take_over_wait_until_{};
   std::optional<TimePoint> earlier_owner_stopped_at_;
   std::optional<Deposal> deposal_;
   /// When the leases have ended that earlier owners may have given on a worker,
--- a/lib/Partition/OwnerCrashes.cc
+++ b/lib/Partition/OwnerCrashes.cc
@@ -49,6 +49,7 @@
   advice_.ForgetWorker(id);
   LogTakenForOver(LogLevel::kWarning, "worker-lost", *worker,
                   {{"reason", NameOf(kWorkerLossNames, loss)}});
+  CountTakenForOver(NameOf(kWorkerLossNames, loss), worker->tasks.size());
   // What the incarnation before has lost is known to have crashed.
   if (worker->reborn) ConfirmCrash(worker);
   CollectLostRuns(worker);
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -73,6 +73,7 @@
     }
     ResolveUnknownJobEnds();
     DropGoneWorkers();
+    ReportTakeOverWait();
     DropKeptJobs();
     FindStragglers();
     Dispatch();
--- a/lib/Partition/OwnerLogs.cc
+++ b/lib/Partition/OwnerLogs.cc
@@ -1,5 +1,7 @@
 // Log lines from which it can be told, for each task, who started it under
 // which lease, and on what evidence its earlier run was taken for over.
+#include <algorithm>
+
 #include "basilusher/Partition/PartitionOwner.h"
 #include "basilusher/Support/Log.h"
 
@@ -22,7 +24,6 @@
   const TimePoint now = deps_.clock->Now();
   const std::string& id = worker.capacity.id;
   const WorkerLink& link = *worker.link;
-  const auto earlier = earlier_leases_until_.find(id);
   const bool unread = unread_workers_.contains(id);
   return {{"worker", id},
           {"term", options_.term},
@@ -38,11 +39,8 @@
           {"directory_age_ms", MillisSince(directory_->FreshAt(), now)},
           {"lease_ends_in_ms", MillisUntil(link.LeaseEnd(), now)},
           {"lost_lease_ends_in_ms", MillisUntil(link.LostLeaseEnd(), now)},
-          {"earlier_lease_ends_in_ms", earlier == earlier_leases_until_.end()
-                                           ? Json()
-                                           : MillisUntil(earlier->second, now)},
-          {"earlier_leases_end_in_ms",
-           unread ? MillisUntil(orphaned_runs_until_, now) : Json()},
+          {"earlier_lease_ends_in_ms",
+           unread ? MillisUntil(EarlierLeaseEndOn(id), now) : Json()},
           {"on_instance", worker_first_seen_at_.contains(id)},
           {"instances_age_ms", MillisSince(instances_asked_at_, now)},
           {"confirmed_for_ms", (listener_.confirmed_until() - now).count()}};
@@ -57,6 +55,61 @@
   LogEvent(level, event, fields);
 }
 
+void PartitionOwner::CountTakenForOver(std::string_view reason, std::size_t n) {
+  if (n == 0) return;
+  const std::string name =
+      "runs_taken_for_over_total{reason=\"" + std::string(reason) + "\"}";
+  Count(name.c_str(), static_cast<std::int64_t>(n));
+}
+
+TimePoint PartitionOwner::EarlierLeaseEndOn(const std::string& id) const {
+  const auto it = earlier_leases_until_.find(id);
+  return it == earlier_leases_until_.end()
+             ? orphaned_runs_until_
+             : std::max(orphaned_runs_until_, it->second);
+}
+
+void PartitionOwner::ReportTakeOverWait() {
+  const bool was_waiting = take_over_wait_since_ != TimePoint{};
+  if (!was_waiting && unread_workers_.empty()) return;
+  const TimePoint now = deps_.clock->Now();
+  const bool waiting = std::any_of(
+      jobs_.All().begin(), jobs_.All().end(),
+      [this](const auto& job) { return MayHaveOrphanedRuns(*job.second); });
+  TimePoint until{};
+  for (const std::string& id : unread_workers_) {
+    until = std::max(until, EarlierLeaseEndOn(id));
+  }
+  if (waiting && (!was_waiting || until < take_over_wait_until_)) {
+    LogEvent(
+        LogLevel::kInfo, "take-over-wait",
+        {{"term", options_.term},
+         {"unread", unread_workers_.size()},
+         {"leases_end_in_ms", MillisUntil(until, now)},
+         {"previous_stopped", previous_told_leases_.has_value()},
+         {"previous_told_leases", previous_told_leases_.value_or(false)},
+         {"fully_read_term", fully_read_term_},
+         {"confirmed_for_ms", (listener_.confirmed_until() - now).count()}});
+  }
+  if (waiting && !was_waiting) take_over_wait_since_ = now;
+  if (waiting) take_over_wait_until_ = until;
+  if (waiting || !was_waiting) return;
+  const Millis waited = now - take_over_wait_since_;
+  const char* why = !unread_workers_.empty() && now < until
+                        ? "no task waits any more"
+                    : !unread_workers_.empty() ? "earlier leases have ended"
+                    : gave_up_reading_         ? "unread workers are gone"
+                                               : "all workers are read";
+  take_over_wait_since_ = TimePoint{};
+  Observe("take_over_wait_ms", waited);
+  LogEvent(LogLevel::kInfo, "take-over-wait-ended",
+           {{"term", options_.term},
+            {"reason", why},
+            {"unread", unread_workers_.size()},
+            {"leases_end_in_ms", MillisUntil(take_over_wait_until_, now)},
+            {"after_ms", waited.count()}});
+}
+
 void PartitionOwner::LogRunStart(const JobRecord& job, const TaskId& id,
                                  std::int64_t run,
                                  const WorkerState& worker) const {
--- a/lib/Partition/OwnerReconciliation.cc
+++ b/lib/Partition/OwnerReconciliation.cc
@@ -54,6 +54,7 @@
           LogLevel::kWarning, "worker-gone", *worker,
           {{"reason", "its entry stayed away and it is not read"},
            {"entry_away_for_ms", (directory_->FreshAt() - since).count()}});
+      Count("workers_gone_total");
       unread_workers_.erase(id);
       gave_up_reading_ = true;
       ScheduleDispatch();
@@ -74,6 +75,7 @@
     const std::optional<LongLeases>& long_leases) {
   const TimePoint now = deps_.clock->Now();
   earlier_owner_stopped_at_ = now;
+  previous_told_leases_ = long_leases.has_value();
   earlier_lease_bound_ =
       LeaseBound(long_leases ? options_.task_lease : options_.max_task_lease);
   for (const auto& [id, left] : long_leases.value_or(LongLeases())) {
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -250,6 +250,7 @@
   // Reports can be matched to jobs only now that the jobs are known.
   for (const auto& [id, worker] : workers_) worker->link->Begin();
   ShortenOrphanedRunsWait();
+  ReportTakeOverWait();
   if (unread_workers_.empty()) fully_read_term_ = options_.term;
   SaveWorkers();
   ScheduleDispatch();
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -197,6 +197,9 @@
   if (complete && unread_workers_.contains(id)) {
     LogEvent(LogLevel::kInfo, "worker-read",
              {{"worker", id},
+              {"term", options_.term},
+              {"fence", worker->link->Fence()},
+              {"born", worker->link->BornUnixMs()},
               {"running", answer.running.size()},
               {"ended", answer.ended.size()},
               {"unread", unread_workers_.size() - 1},
@@ -281,6 +284,7 @@
     LogEvent(LogLevel::kInfo, "run-adopted",
              {{"task", FormatTaskId(running.task)},
               {"run", running.run},
+              {"term", options_.term},
               {"worker", worker->capacity.id}});
     return;
   }
@@ -318,6 +322,7 @@
   LogEvent(LogLevel::kInfo, "run-unwanted",
            {{"task", FormatTaskId(task)},
             {"run", run},
+            {"term", options_.term},
             {"worker", worker->capacity.id}});
   worker->link->Stop(task, run);
 }
@@ -500,6 +505,7 @@
             : task->sent_at < sent_at && task->started_at < sent_at;
     if (gone) vanished.push_back(id);
   }
+  CountTakenForOver("missing in a report", vanished.size());
   for (const TaskId& id : vanished) {
     JobRecord* job = jobs_.Find(id.job);
     TaskRecord* task = jobs_.FindTask(id);
