--- a/include/basilusher/Node/NodeAgent.h
+++ b/include/basilusher/Node/NodeAgent.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "basilusher/Node/Peers.h"
 #include "basilusher/Partition/PartitionOwner.h"
@@ -100,6 +101,13 @@
   /// What is left of the long leases that this process gave in `term`; nothing
   /// if it did not hold that term last.
   std::optional<LongLeases> LongLeasesOf(std::int64_t term) const;
+  // NodeAgentLogs.cc.
+  void LogElected(const OwnerView& earlier) const;
+  void LogTermEnded(const char* reason) const;
+  /// Logs what the earlier owner answered to the request to end its term,
+  /// unless it is the same as before.
+  void LogEarlierOwner(const OwnerView& earlier, const char* answer,
+                       const std::optional<LongLeases>& long_leases);
   void FinishStop();
   void EndLease(std::int64_t lease);
 
@@ -123,6 +131,8 @@
   std::int64_t held_term_ = 0;
   TimePoint held_term_ended_at_{};
   LongLeases long_leases_;
+  /// The last answer of an earlier owner that was logged, and in which term.
+  std::pair<std::int64_t, std::string> logged_answer_;
   std::int64_t term_key_revision_ = 0;
   std::int64_t lease_ = 0;
   std::int64_t grant_round_ = 0;
--- a/lib/Node/NodeAgent.cc
+++ b/lib/Node/NodeAgent.cc
@@ -252,7 +252,6 @@
 
 void NodeAgent::OnElected(std::int64_t term, std::int64_t revision) {
   if (owner_ != nullptr || stopping_ || term <= last_ended_term_) return;
-  LogEvent(LogLevel::kInfo, "elected", {{"term", term}});
   OwnerOptions options = options_.owner;
   options.term = term;
   options.term_revision = revision;
@@ -272,6 +271,7 @@
                  .incarnation = options_.incarnation,
                  .term = term,
                  .revision = revision};
+  LogElected(earlier);
   owner_->Begin(catalog_());
   for (const auto& [number, wave] : waves_) owner_->SetWave(wave);
   AskEarlierOwner(earlier);
@@ -280,9 +280,15 @@
 void NodeAgent::AskEarlierOwner(const OwnerView& earlier) {
   if (earlier.address.empty()) return;
   // A term between the two was not heard of: its owner may still go on.
-  if (earlier.term + 1 != owner_->Term()) return;
+  if (earlier.term + 1 != owner_->Term()) {
+    LogEarlierOwner(earlier, "not asked: another term was between",
+                    std::nullopt);
+    return;
+  }
   if (earlier.node == options_.node) {
-    owner_->NoteEarlierOwnerStopped(LongLeasesOf(earlier.term));
+    const std::optional<LongLeases> leases = LongLeasesOf(earlier.term);
+    LogEarlierOwner(earlier, "own term", leases);
+    owner_->NoteEarlierOwnerStopped(leases);
     return;
   }
   const std::shared_ptr<PartitionOwner> owner = owner_;
@@ -292,9 +298,13 @@
       [self = shared_from_this(), owner, earlier](std::optional<Json> answer) {
         if (self->owner_ != owner) return;
         if (answer && FieldOr(*answer, "ended", false)) {
-          owner->NoteEarlierOwnerStopped(DecodeLongLeases(*answer));
+          const std::optional<LongLeases> leases = DecodeLongLeases(*answer);
+          self->LogEarlierOwner(earlier, "ended", leases);
+          owner->NoteEarlierOwnerStopped(leases);
           return;
         }
+        self->LogEarlierOwner(earlier, answer ? "not ended" : "none",
+                              std::nullopt);
         self->ports_.timers->After(kRenewPeriod, [self, owner, earlier] {
           if (self->owner_ == owner) self->AskEarlierOwner(earlier);
         });
@@ -315,6 +325,11 @@
   const std::int64_t below = request.at("below").get<std::int64_t>();
   Json answer = {{"ended", EndTermBelow(below)}};
   const std::optional<LongLeases> leases = LongLeasesOf(below - 1);
+  LogEvent(LogLevel::kInfo, "end-term-answered",
+           {{"below", below},
+            {"ended", answer["ended"]},
+            {"held_term", held_term_},
+            {"long_leases", leases ? Json(leases->size()) : Json()}});
   if (leases) answer["long_leases"] = EncodeLongLeases(*leases);
   return answer;
 }
@@ -341,18 +356,7 @@
 
 void NodeAgent::Depose(const char* reason) {
   if (owner_ == nullptr) return;
-  Json ended = {
-      {"term", owner_->Term()},
-      {"reason", reason},
-      {"incarnation", options_.incarnation},
-      {"confirmed_for_ms", (confirmed_until_ - ports_.clock->Now()).count()}};
-  if (const std::optional<Deposal>& deposal = owner_->Deposed()) {
-    ended["by"] = NameOf(kDeposedByNames, deposal->by);
-    ended["source"] = deposal->source;
-    ended["ours"] = deposal->ours;
-    ended["found"] = deposal->found;
-  }
-  LogEvent(LogLevel::kWarning, "term-ended", ended);
+  LogTermEnded(reason);
   last_ended_term_ = std::max(last_ended_term_, owner_->Term());
   held_term_ = owner_->Term();
   held_term_ended_at_ = ports_.clock->Now();
