--- /dev/null
+++ b/test/soak/__main__.py
@@ -0,0 +1,74 @@
+"""Plays the fault soak by hand; see --help."""
+
+import argparse
+import os
+import subprocess
+import sys
+import time
+
+
+def parse():
+    parser = argparse.ArgumentParser(
+        prog="python3 -m soak", description=__doc__,
+        epilog="Run it in test/. BASILUSHER_BUILD names the build folder. "
+        "Exits with 1 if a rule was broken.")
+    parser.add_argument("--seed", type=int, default=1, help="the first seed")
+    parser.add_argument("--seeds", type=int, default=1,
+                        help="how many seeds to play")
+    parser.add_argument("--minutes", type=float, default=0,
+                        help="play further seeds until so much time has passed")
+    parser.add_argument("--seconds", type=float, default=40,
+                        help="length of the troubles of one play")
+    parser.add_argument("--nodes", type=int, default=5)
+    parser.add_argument("--workers", type=int, default=9)
+    parser.add_argument("--kinds", default="",
+                        help="kinds of trouble, with commas; all if not given")
+    parser.add_argument("--keep", metavar="FOLDER",
+                        help="keeps the records of plays that broke a rule")
+    parser.add_argument("--one", action="store_true", help=argparse.SUPPRESS)
+    return parser.parse_args()
+
+
+def play_one(arguments):
+    from .play import Options, play
+    violations, starts = play(Options(
+        seed=arguments.seed, seconds=arguments.seconds, nodes=arguments.nodes,
+        workers=arguments.workers, keep=arguments.keep,
+        kinds=tuple(filter(None, arguments.kinds.split(",")))))
+    print(f"seed {arguments.seed}: {starts} starts, "
+          f"{len(violations)} broken", flush=True)
+    for violation in violations[:20]:
+        print(f"  {violation}")
+    return 1 if violations else 0
+
+
+def play_many(arguments):
+    """Each seed in a process of its own."""
+    until = time.monotonic() + 60 * arguments.minutes
+    seed, broken = arguments.seed, []
+    rest = [f"--{name}={getattr(arguments, name)}"
+            for name in ("seconds", "nodes", "workers", "kinds", "keep")
+            if getattr(arguments, name)]
+    while (seed < arguments.seed + arguments.seeds
+           or time.monotonic() < until):
+        code = subprocess.run([sys.executable, "-m", "soak", "--one",
+                               f"--seed={seed}", *rest], check=False,
+                              cwd=os.path.dirname(os.path.dirname(
+                                  os.path.abspath(__file__)))).returncode
+        if code != 0:
+            broken.append(seed)
+        seed += 1
+    print(f"seeds {arguments.seed} to {seed - 1}: broken or not played: "
+          f"{broken or 'none'}")
+    return 1 if broken else 0
+
+
+def main():
+    arguments = parse()
+    if arguments.one:
+        return play_one(arguments)
+    return play_many(arguments)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
