--- /dev/null
+++ b/test/soak_checks_test.py
@@ -0,0 +1,142 @@
+"""The soak's checks on records made by hand: what they report, and what the
+rules allow."""
+
+import unittest
+
+import soak.checks as checks
+from soak.clients import Job
+
+ROOM = {"Cpu": 1000, "MemMb": 1000}
+ONE, TWO = "i-01-1", "i-02-1"
+TASK = "aa.0.0.0"
+
+
+def row(at, worker, event, **fields):
+    return {"at": at, "who": "worker " + worker, "event": event, **fields}
+
+
+def started(at, worker=ONE, task=TASK, run=1):
+    return row(at, worker, "started", task=task, run=run, fence=1000000)
+
+
+def ended(at, how, worker=ONE, task=TASK, run=1, **fields):
+    return row(at, worker, "end", task=task, run=run, how=how, **fields)
+
+
+def noted(at, worker=ONE, task=TASK, run=1, lapsed=False):
+    return row(at, worker, "end-forgotten", task=task, run=run, lapsed=lapsed)
+
+
+def job(steps=1, **fields):
+    return Job("aa", {}, [{"Count": 1, "Cpu": 600, "MemMb": 100,
+                           **({"After": [0]} if n else {})}
+                          for n in range(steps)], **fields)
+
+
+class SoakChecksTest(unittest.TestCase):
+    def rules(self, rows, jobs=(), kills=(), pauses=(), in_touch=True):
+        """Rules that the record breaks. Jobs count as accepted if they are
+        given a time of acceptance."""
+        found = checks.check_all(
+            checks.runs_of(rows, list(kills)),
+            {each.id: each for each in jobs or [job()]}, ROOM, dict(pauses),
+            lambda run: in_touch, 100.0)
+        return [violation.rule for violation in found]
+
+    def test_two_runs_at_once(self):
+        rows = [started(1), started(3, TWO, run=2)]
+        self.assertEqual(self.rules(rows), ["TWICE"])
+        self.assertEqual(self.rules([*rows, ended(2, "failed")]), [])
+        self.assertEqual(self.rules([*rows, ended(4, "stopped")]), ["TWICE"])
+
+    def test_a_run_ends_with_its_lease_however_late_that_is_noticed(self):
+        rows = [started(1), started(3, TWO, run=2)]
+        self.assertEqual(self.rules(
+            [*rows, ended(3.5, "lapsed", lease_ended_at=2.9)]), [])
+        self.assertEqual(self.rules(
+            [*rows, ended(3.5, "lapsed", lease_ended_at=3.1)]), ["TWICE"])
+
+    def test_a_run_does_not_count_while_its_worker_is_paused_or_dead(self):
+        rows = [started(1), started(3, TWO, run=2)]
+        lapsed = [*rows, ended(5.1, "lapsed", lease_ended_at=4)]
+        self.assertEqual(self.rules(lapsed, pauses={"m-01": [(2, 5)]}), [])
+        goes_on = [*rows, ended(9, "stopped")]
+        self.assertEqual(self.rules(goes_on, pauses={"m-01": [(2, 5)]}),
+                         ["TWICE"])
+        self.assertEqual(self.rules(rows, kills=[(2, "m-01")]), [])
+
+    def test_a_start_after_an_end_that_was_taken_note_of(self):
+        rows = [started(1), ended(2, "done"), started(4, TWO, run=2)]
+        self.assertEqual(self.rules(rows), [])
+        self.assertEqual(self.rules([*rows, noted(3)]), ["TWICE"])
+        self.assertEqual(self.rules([*rows, noted(5)]), ["TWICE"])
+        self.assertEqual(self.rules([*rows, noted(5, lapsed=True)]), [])
+
+    def test_an_end_of_an_earlier_life_is_not_taken_note_of(self):
+        rows = [started(1), ended(2, "done"), row(2.5, ONE, "up"), noted(3),
+                started(4, TWO, run=2)]
+        self.assertEqual(self.rules(rows), [])
+
+    def test_room(self):
+        second = "aa.0.1.0"
+        two_steps = Job("aa", {}, [{"Count": 1, "Cpu": 600, "MemMb": 100}] * 2)
+        rows = [started(1), started(2, task=second)]
+        self.assertEqual(self.rules(rows, [two_steps]), ["LIMIT"])
+        rows = [started(1), ended(2, "done"), started(2, task=second)]
+        self.assertEqual(self.rules(rows, [two_steps]), [])
+
+    def test_order_of_steps(self):
+        second = "aa.0.1.0"
+        self.assertEqual(self.rules([started(1, task=second)], [job(2)]),
+                         ["ORDER"])
+        rows = [started(1), ended(2, "done"), started(3, task=second)]
+        self.assertEqual(self.rules(rows, [job(2)]), [])
+
+    def test_attempts(self):
+        rows = []
+        for run in range(1, 4):
+            rows += [started(run, run=run), ended(run + 0.5, "failed", run=run),
+                     noted(run + 0.6, run=run)]
+        self.assertEqual(self.rules(rows), [])
+        self.assertEqual(self.rules([*rows, started(9, run=9)]), ["BUDGET"])
+        rows[2]["lapsed"] = True
+        self.assertEqual(self.rules([*rows, started(9, run=9)]), [])
+
+    def test_work_that_nobody_asked_for(self):
+        self.assertEqual(self.rules([started(1, task="bb.0.0.0")]),
+                         ["UNASKED"])
+        self.assertEqual(self.rules([started(1, task="aa.0.0.1")]),
+                         ["UNASKED"])
+        cancelled = job(cancel_sent_at=0.9, cancelled_at=1.0)
+        self.assertEqual(self.rules([started(3.9)], [cancelled]), [])
+        self.assertEqual(self.rules([started(4.1)], [cancelled]), ["UNASKED"])
+        self.assertEqual(
+            self.rules([started(4.1)], [cancelled], in_touch=False), [])
+
+    def test_a_rejected_job_runs(self):
+        self.assertEqual(self.rules([started(1)], [job(rejected=True)]),
+                         ["REFUSED"])
+
+    def test_jobs_that_are_lost(self):
+        for state in (None, "running", "failed", "cancelled", 410):
+            self.assertEqual(
+                self.rules([], [job(accepted_at=1.0, state=state)]), ["LOST"])
+        self.assertEqual(self.rules([], [job()]), [])
+        self.assertEqual(self.rules([], [job(
+            accepted_at=1.0, cancel_sent_at=2.0, state="cancelled")]), [])
+        rows = []
+        for run in range(1, 4):
+            rows += [started(run, run=run), ended(run + 0.5, "failed", run=run)]
+        self.assertEqual(
+            self.rules(rows, [job(accepted_at=1.0, state="failed")]), [])
+
+    def test_a_job_is_shown_as_succeeded_too_early(self):
+        shown = job(accepted_at=1.0, state="succeeded", final_at=2.0)
+        rows = [started(1), ended(3, "done")]
+        self.assertEqual(self.rules(rows, [shown]), ["MIXED"])
+        shown.final_at = 3.0
+        self.assertEqual(self.rules(rows, [shown]), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/test/soak_test.py
+++ b/test/soak_test.py
@@ -102,13 +102,21 @@
 
 
 class OwnerInDoubtTest(PartitionTest):
-    def test_it_does_not_restart_runs_whose_leases_its_successor_renews(self):
+    def partition_with_idle_workers(self, ms):
+        """Tasks that last `ms` run on workers that the owner is cut off from."""
         for _ in range(3):
-            self.submit(12, 20000)
+            self.submit(12, ms)
         busy = self.busy_hosts()
         idle = [host for host in self.deployment.hosts if host not in busy]
         self.assertTrue(idle)
         self.partition(idle[:2])
+
+    def test_it_does_not_restart_runs_whose_leases_its_successor_renews(self):
+        self.partition_with_idle_workers(20000)
+        self.assert_rules_hold()
+
+    def test_it_does_not_restart_runs_that_its_successor_has_seen_end(self):
+        self.partition_with_idle_workers(3000)
         self.assert_rules_hold()
 
 
