--- a/test/soak/play.py
+++ b/test/soak/play.py
@@ -13,7 +13,7 @@
 from . import checks
 from .clients import PREFIX, Clients
 from .deployment import SoakDeployment
-from .troubles import STORE, Troubles
+from .troubles import FIRST_VERSION, STORE, Troubles
 
 # Fences of an owner begin with its term.
 FENCES_PER_TERM = 1000000
@@ -126,7 +126,8 @@
     try:
         for n, host in enumerate(deployment.hosts):
             deployment.clock_rates[host] = 1.0 - 0.02 * (n % 3) / 2
-        deployment.start(configuration(7, [route("r-settle", PREFIX)]))
+        deployment.start(configuration(FIRST_VERSION - 1,
+                                       [route("r-settle", PREFIX)]))
         troubles = Troubles(deployment, options.seed, options.kinds)
         troubles.prepare()
         clients = Clients(deployment, options.seed)
--- a/test/soak/troubles.py
+++ b/test/soak/troubles.py
@@ -5,15 +5,22 @@
 import threading
 import time
 
+from harness import configuration, route
+
+from .clients import PREFIX
+from .platform import ENTRY_RETURN_S
+
 # How often each kind comes.
 WEIGHTS = {"outage": 3, "roll": 3, "stop_owner": 2, "kill_owner": 2,
            "pause_owner": 2, "cut_worker": 3, "cut_worker_for_some": 3,
            "slow_worker": 2, "pause_worker": 3, "reborn_worker": 2,
            "crash_worker": 1, "mute_worker": 3, "mute_all": 1,
-           "node_without_store": 2, "partition": 2}
+           "node_without_store": 2, "partition": 2, "reload": 1,
+           "new_configuration": 1}
 # Workers that can start again under their id.
 STANDBYS = 4
 STORE = "store"
+FIRST_VERSION = 7
 
 
 class Troubles:
@@ -29,6 +36,7 @@
         self.lock = threading.Lock()
         self.standbys = []
         self.kills = []
+        self.version = FIRST_VERSION
 
     def prepare(self):
         """Starts the processes that take the place of killed workers."""
@@ -110,14 +118,32 @@
                         leases_paused=leases_paused)
         deployment.platform.silence()
         time.sleep(seconds)
-        returns = {deployment.worker_on(host): rng.uniform(0, 1.8)
+        returns = {deployment.worker_on(host): rng.uniform(0, ENTRY_RETURN_S)
                    for host in deployment.hosts}
         deployment.platform.recover(leases_paused, returns)
         over()
         deployment.note("trouble", "store back")
 
+    def configure(self, more_routes=()):
+        """Publishes the next version: the queue of the clients, and others."""
+        with self.lock:
+            self.deployment.configure(configuration(
+                self.version, [route("r-settle", PREFIX), *more_routes]))
+            self.version += 1
+
+    def new_configuration(self, rng):
+        number = rng.randrange(4)
+        self.configure([route(f"r-{n}", f"/other-{n}/")
+                        for n in range(number)])
+
     # Nodes.
 
+    def reload(self, rng):
+        number = rng.randrange(len(self.deployment.node_names))
+        name = self.deployment.node_names[number]
+        self.with_process(name, self.deployment.signal_node, number,
+                          signal.SIGHUP)
+
     def restart(self, rng, how):
         number = self.owner(rng)
         self.with_process(self.deployment.node_names[number],
