Fault soak: held calls end without an answer; lasting jobs are cancelled until told

Its cancellations at the end met a store that had been silent for 10.5 s and answered the first node 9 s late: the stand-in carried out every call of the outage at once. A call that is held now ends without an answer after 3 s, as its caller has given up by then, and the soak cancels a lasting job until that is acknowledged, as part of waiting for all ends. The check is the same.

--- a/test/soak/clients.py
+++ b/test/soak/clients.py
@@ -181,9 +181,6 @@
         connections = self.connections()
         until = time.monotonic() + limit_s
         accepted = [job for job in self.jobs.values() if job.accepted_at]
-        for job in accepted:
-            if job.lasts() and job.cancelled_at is None:
-                self.cancel(connections, 0, job)
         turn = 0
         while time.monotonic() < until:
             left = [job for job in accepted if job.final_at is None
@@ -192,6 +189,8 @@
                 break
             for job in left:
                 turn += 1
+                if job.lasts() and job.cancelled_at is None:
+                    self.cancel(connections, turn, job, tries=1)
                 self.look(connections[turn % len(connections)], job)
             time.sleep(0.3)
         for connection in connections:
--- a/test/soak/platform.py
+++ b/test/soak/platform.py
@@ -8,14 +8,15 @@
 
 from platform_standin import Platform
 
-HELD_CALL_S = 20.0
+# Then the connection of a call ends without an answer; its caller has given up.
+HELD_CALL_S = 3.0
 # Entries that expired in an outage are back within about two seconds.
 ENTRY_RETURN_S = 1.8
 
 
 class SoakPlatform(Platform):
     """While the store is silent, calls wait, also those that it has carried out
-    and not answered."""
+    and not answered. Some are carried out when it is back."""
 
     def __init__(self, ip, heartbeat_s, move):
         self.answers = threading.Event()
@@ -45,7 +46,13 @@
 
     def await_path(self, address):
         with self.healed:
-            self.healed.wait_for(lambda: address not in self.cut_addresses)
+            if not self.healed.wait_for(
+                    lambda: address not in self.cut_addresses, HELD_CALL_S):
+                raise ConnectionAbortedError("the caller is cut off")
+
+    def await_store(self):
+        if not self.answers.wait(HELD_CALL_S):
+            raise ConnectionAbortedError("the store is silent")
 
     def silence(self):
         self.silent_since = time.monotonic()
@@ -85,12 +92,11 @@
     def serve_node(self, method, path, query, body, headers):
         if not path.startswith("/basilusher/kv"):
             return super().serve(method, path, query, body, headers)
-        if not self.answers.wait(HELD_CALL_S):
-            return 503, {}
+        self.await_store()
         if path == "/basilusher/kv-txn":
             self.redirect_peers(body)
         result = super().serve(method, path, query, body, headers)
-        self.answers.wait(HELD_CALL_S)
+        self.await_store()
         return result
 
     def serve_beat(self, method, path, query, body, headers):
