Fakes: a crashed worker's instance is listed as down

The fake went on listing the dead one. Random sequences keep the list that shows nothing, so that only the ends of leases tell, and play as before.

--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -266,6 +266,8 @@
     kSameId,
   };
   RestartMode restart_mode = RestartMode::kNewIdSameAddress;
+  /// The list of instances shows at once that a worker has crashed.
+  bool list_shows_crashes = true;
   /// Starts without the worker's own ticket are refused.
   bool requires_tickets = false;
   /// Time until a start or stop reaches its worker; calls to Hold overtake it.
@@ -288,6 +290,8 @@
     std::string pool;
     InstanceState state = InstanceState::kUp;
     std::string worker;
+    /// Worker whose crash has taken the instance down.
+    std::string crashed_worker;
     std::int64_t fence = 0;
     std::set<std::int64_t> waves;
   };
--- a/unittests/Partition/SequenceTest.cc
+++ b/unittests/Partition/SequenceTest.cc
@@ -63,6 +63,8 @@
 
   void Run() {
     sim_.fleet.ends_on_time = doubt_;
+    // Only the ends of leases tell that a silent worker runs nothing.
+    sim_.fleet.list_shows_crashes = false;
     if (wide_) sim_.fleet.max_ends_per_poll = kMaxEndsPerPoll[Pick(4)];
     for (int i = 0; i < 6; ++i) sim_.fleet.AddWorker("pool");
     BeginTerm(/*close_former=*/true);
--- a/unittests/Partition/SimFleet.cc
+++ b/unittests/Partition/SimFleet.cc
@@ -64,6 +64,12 @@
   worker->alive = false;
   worker->running.clear();
   worker->ended.clear();
+  for (auto& [instance_id, instance] : instances_) {
+    if (instance.worker != id || !list_shows_crashes) continue;
+    instance.worker.clear();
+    instance.crashed_worker = id;
+    instance.state = InstanceState::kDown;
+  }
   timers_->After(Millis(4500), [this, id] { store_->Remove("workers/" + id); });
 }
 
@@ -109,7 +115,10 @@
   }
   worker->address_reused = restart_mode == RestartMode::kNewIdSameAddress;
   for (auto& [instance_id, instance] : instances_) {
-    if (instance.worker == id) instance.worker = NewWorker(instance.pool);
+    if (instance.crashed_worker != id && instance.worker != id) continue;
+    instance.crashed_worker.clear();
+    instance.state = InstanceState::kUp;
+    instance.worker = NewWorker(instance.pool);
   }
 }
 
@@ -593,7 +602,8 @@
         AddViolation("instance " + instance->id +
                      " taken with unfinished tasks");
       }
-      Crash(instance->worker);
+      const std::string worker_id = instance->worker;
+      Crash(worker_id);
     }
   }
   instance->worker.clear();
