Record a worker by the address that was written, and read it at a new one

What callers would see: a task runs on two workers. A worker starts again under its id at another address while the owner writes its former one; the answer marked the worker as recorded, so that tasks started at an address that no record had.

The mark now goes to a worker whose present address was written, and a new address leaves an unread worker unread.

--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -427,11 +427,11 @@
   workers_changed_ = false;
   Json document = Json::object();
   if (fully_read_term_ > 0) document[kFullyReadTermKey] = fully_read_term_;
-  std::vector<std::string> ids;
+  std::map<std::string, std::string> addresses;
   for (const auto& [id, worker] : workers_) {
     if (worker->instance_taken || worker->dropped) continue;
-    document[id] = worker->link->Address().address;
-    ids.push_back(id);
+    addresses[id] = worker->link->Address().address;
+    document[id] = addresses[id];
   }
   Txn txn;
   txn.conditions.push_back({options_.keys.owner, options_.term_revision});
@@ -441,7 +441,7 @@
   txn.writes.push_back(
       {.key = options_.keys.workers, .value = document.dump()});
   deps_.store->Commit(
-      txn, [self = shared_from_this(), ids](const StoreAnswer& answer) {
+      txn, [self = shared_from_this(), addresses](const StoreAnswer& answer) {
         if (self->closed_) return;
         const bool stored = answer.status == TxnStatus::kOk;
         if (stored) self->workers_revision_ = answer.revision;
@@ -458,9 +458,11 @@
                                     }
                                   });
         if (!stored) return;
-        for (const std::string& id : ids) {
+        for (const auto& [id, address] : addresses) {
           WorkerState* worker = self->FindWorker(id);
-          if (worker != nullptr) worker->recorded = true;
+          if (worker != nullptr && worker->link->Address().address == address) {
+            worker->recorded = true;
+          }
         }
         self->ScheduleDispatch();
       });
