Believe no single list of instances that a worker is gone

The id of an unread worker had to be missing from one list, asked for over a second after the term began. It now has to be missing from every list over a second: the conclusion overrides the wait for leases. The first list is asked for as the term begins, so that a dead worker delays its tasks as before (DeadWorkerTest).

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -401,9 +401,9 @@
   void EvictFromDraining();
   /// True if the task runs at full speed on a worker that answers.
   bool IsAtWork(const TaskRecord& task);
-  /// Treats unread workers that are not on any instance as lost: they run
-  /// nothing.
-  void DropWorkersWithoutInstance();
+  /// Treats unread workers that several lists in a row show on no instance as
+  /// lost: they run nothing. The last one was asked for at `asked_at`.
+  void DropWorkersWithoutInstance(TimePoint asked_at);
 
   // OwnerLogs.cc.
   /// What is known of a worker whose runs are taken for over.
@@ -483,6 +483,8 @@
   TimePoint instances_asked_at_{};
   /// Instances of waves that the lists have not shown since.
   std::map<std::string, TimePoint> instance_missing_since_;
+  /// Unread workers that the lists have shown on no instance since.
+  std::map<std::string, TimePoint> worker_missing_since_;
   /// When each worker was first seen on an instance.
   std::map<std::string, TimePoint> worker_first_seen_at_;
   std::map<std::string, InstanceOperation> instance_operations_;
--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -73,7 +73,7 @@
                           return instance.second.worker == entry.first;
                         });
   });
-  if (asked_at - began_at_ > kListLag) DropWorkersWithoutInstance();
+  DropWorkersWithoutInstance(asked_at);
   std::vector<std::string> completed;
   for (auto& [id, op] : instance_operations_) {
     if (!op.accepted || op.accepted_at >= asked_at) continue;
@@ -114,7 +114,7 @@
   SaveWorkers();
 }
 
-void PartitionOwner::DropWorkersWithoutInstance() {
+void PartitionOwner::DropWorkersWithoutInstance(TimePoint asked_at) {
   if (unread_workers_.empty()) return;
   std::set<std::string> workers_on_instances;
   for (const auto& [id, instance] : instances_) {
@@ -122,7 +122,13 @@
   }
   const std::set<std::string> unread = unread_workers_;
   for (const std::string& id : unread) {
-    if (!workers_on_instances.contains(id)) {
+    if (workers_on_instances.contains(id)) {
+      worker_missing_since_.erase(id);
+      continue;
+    }
+    const TimePoint since =
+        worker_missing_since_.try_emplace(id, asked_at).first->second;
+    if (asked_at - since >= kListLag) {
       OnWorkerLost(id, WorkerLoss::kNoInstance);
     }
   }
