Take no unread worker for gone before its earlier leases have ended

What callers saw: a task runs on two workers. A worker that reaches neither the store nor the next owner has no directory entry. That owner took it for gone after 2.3 s of an answering store, and started its tasks elsewhere, while leases of the owner before lasted: 4.1 s after a planned stop, 12 s where that owner is cut off with its workers.

Cause: two conclusions from absence beside each other. MayHaveOrphanedRuns waited for the leases, DropGoneWorkers took workers out of that wait without looking at them.

EarlierLeases now holds until when an earlier owner's lease may last on a worker; it is all that ends the wait beside a report of the worker and the platform's list of instances, which misses a dead worker's id within 0.3 s. While the term is not confirmed the bound does not count either, as a later owner may renew.

--- a/include/basilusher/Partition/OwnerState.h
+++ b/include/basilusher/Partition/OwnerState.h
@@ -32,9 +32,6 @@
   std::string queue;
 };
 
-/// Upper bounds of what is left of the leases on workers, by worker id.
-using LongLeases = std::map<std::string, Millis>;
-
 /// What told an owner that a later term has begun.
 enum class DeposedBy : std::uint8_t {
   kWorkerFence,
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -18,6 +18,7 @@
 #include "basilusher/Jobs/Interfaces.h"
 #include "basilusher/Jobs/JobTable.h"
 #include "basilusher/Net/IoLoop.h"
+#include "basilusher/Partition/EarlierLeases.h"
 #include "basilusher/Partition/OwnerOptions.h"
 #include "basilusher/Partition/OwnerState.h"
 #include "basilusher/Partition/Recorder.h"
@@ -117,8 +118,8 @@
   /// Marks a worker as read: its report is complete, or it is known to run
   /// nothing.
   void MarkWorkerRead(const std::string& id);
-  /// Shortens the wait for orphaned runs if no owner but the previous one can
-  /// have given leases.
+  /// Shortens the wait for orphaned runs if the previous owner had read all
+  /// workers.
   void ShortenOrphanedRunsWait();
   /// Takes the current revision of `key` from the answer to a conflicting
   /// write. Returns false if the term of another owner has begun.
@@ -146,9 +147,12 @@
   bool IsSafeToForget(const WorkerState& worker) const;
   /// Forgets a worker that has no directory entry, once that is safe.
   void DropIfSafeToForget(const std::string& id);
-  /// True if runs that an earlier owner started on the worker may still hold a
-  /// lease longer than those that owners renew.
-  bool MayHoldLongLease(const std::string& id) const;
+  /// True if runs that an earlier owner started on an unread worker may still
+  /// hold a lease, and be it from a later owner.
+  bool MayHoldEarlierLease(const std::string& id) const;
+  /// True if no later owner can have renewed leases by now: the store has not
+  /// ended this node's lease, with which the owner record goes.
+  bool TermIsConfirmed() const;
   /// Stops waiting for unread workers whose directory entries have not come
   /// back, and forgets workers without an entry where that is safe.
   void DropGoneWorkers();
@@ -414,8 +418,6 @@
                        const WorkerState& worker, const Json& conclusion) const;
   /// Counts `n` runs that are taken for over without a report of their end.
   void CountTakenForOver(std::string_view reason, std::size_t n);
-  /// Latest end of an earlier owner's lease on an unread worker.
-  TimePoint EarlierLeaseEndOn(const std::string& worker) const;
   /// Logs when tasks begin or cease to wait for unread workers, and a change of
   /// the time until which they wait.
   void ReportTakeOverWait();
@@ -464,20 +466,14 @@
   /// then does not record that it has read all of them.
   bool gave_up_reading_ = false;
   TimePoint began_at_{};
-  TimePoint orphaned_runs_until_{};
+  EarlierLeases earlier_leases_;
   /// The previous owner has stopped, and told of its long leases (true) or not.
   std::optional<bool> previous_told_leases_;
   /// Since when tasks have waited for unread workers, and until when at most,
   /// as logged; zero if none waits.
   TimePoint take_over_wait_since_{};
   TimePoint take_over_wait_until_{};
-  std::optional<TimePoint> earlier_owner_stopped_at_;
   std::optional<Deposal> deposal_;
-  /// When the leases have ended that earlier owners may have given on a worker,
-  /// where that is later than `orphaned_runs_until_`.
-  std::map<std::string, TimePoint> earlier_leases_until_;
-  /// Longest lease that the earlier owner may have given on other workers.
-  Millis earlier_lease_bound_{0};
   std::map<std::string, Instance> instances_;
   /// When the list of `instances_` was asked for.
   TimePoint instances_asked_at_{};
--- a/lib/Partition/OwnerLogs.cc
+++ b/lib/Partition/OwnerLogs.cc
@@ -40,7 +40,7 @@
           {"lease_ends_in_ms", MillisUntil(link.LeaseEnd(), now)},
           {"lost_lease_ends_in_ms", MillisUntil(link.LostLeaseEnd(), now)},
           {"earlier_lease_ends_in_ms",
-           unread ? MillisUntil(EarlierLeaseEndOn(id), now) : Json()},
+           unread ? MillisUntil(earlier_leases_.EndOn(id), now) : Json()},
           {"on_instance", worker_first_seen_at_.contains(id)},
           {"instances_age_ms", MillisSince(instances_asked_at_, now)},
           {"confirmed_for_ms", (listener_.confirmed_until() - now).count()}};
@@ -62,13 +62,6 @@
   Count(name.c_str(), static_cast<std::int64_t>(n));
 }
 
-TimePoint PartitionOwner::EarlierLeaseEndOn(const std::string& id) const {
-  const auto it = earlier_leases_until_.find(id);
-  return it == earlier_leases_until_.end()
-             ? orphaned_runs_until_
-             : std::max(orphaned_runs_until_, it->second);
-}
-
 void PartitionOwner::ReportTakeOverWait() {
   const bool was_waiting = take_over_wait_since_ != TimePoint{};
   if (!was_waiting && unread_workers_.empty()) return;
@@ -78,7 +71,7 @@
       [this](const auto& job) { return MayHaveOrphanedRuns(*job.second); });
   TimePoint until{};
   for (const std::string& id : unread_workers_) {
-    until = std::max(until, EarlierLeaseEndOn(id));
+    until = std::max(until, earlier_leases_.EndOn(id));
   }
   if (waiting && (!was_waiting || until < take_over_wait_until_)) {
     LogEvent(
--- a/lib/Partition/OwnerReconciliation.cc
+++ b/lib/Partition/OwnerReconciliation.cc
@@ -47,7 +47,7 @@
     const TimePoint since =
         std::max(worker->unlisted_at, directory_->UnbrokenSince());
     if (directory_->FreshAt() < since + kEntryReturnTime) continue;
-    if (unread_workers_.contains(id) && MayHoldLongLease(id)) continue;
+    if (unread_workers_.contains(id) && MayHoldEarlierLease(id)) continue;
     // A worker that answers is read to its last end.
     if (!worker->link->Synced() && unread_workers_.contains(id)) {
       LogTakenForOver(
@@ -74,14 +74,11 @@
 void PartitionOwner::NoteEarlierOwnerStopped(
     const std::optional<LongLeases>& long_leases) {
   const TimePoint now = deps_.clock->Now();
-  earlier_owner_stopped_at_ = now;
   previous_told_leases_ = long_leases.has_value();
-  earlier_lease_bound_ =
-      LeaseBound(long_leases ? options_.task_lease : options_.max_task_lease);
+  earlier_leases_.NotePreviousStopped(now, long_leases);
   for (const auto& [id, left] : long_leases.value_or(LongLeases())) {
     LogEvent(LogLevel::kInfo, "long-lease-inherited",
              {{"worker", id}, {"left_ms", left.count()}});
-    earlier_leases_until_[id] = now + left;
     WorkerState* worker = FindWorker(id);
     if (worker != nullptr) worker->link->NoteEarlierLease(now + left);
   }
@@ -98,33 +95,32 @@
     left = std::max(left, until - now);
   };
   for (const auto& [id, worker] : workers_) add(id, worker->link->LeaseEnd());
-  for (const auto& [id, until] : earlier_leases_until_) add(id, until);
+  for (const auto& [id, end] : earlier_leases_.LongLeaseEnds()) add(id, end);
   return leases;
 }
 
-bool PartitionOwner::MayHoldLongLease(const std::string& id) const {
-  const auto it = earlier_leases_until_.find(id);
-  return it != earlier_leases_until_.end() && deps_.clock->Now() < it->second;
+bool PartitionOwner::TermIsConfirmed() const {
+  return deps_.clock->Now() < listener_.confirmed_until();
+}
+
+bool PartitionOwner::MayHoldEarlierLease(const std::string& id) const {
+  return deps_.clock->Now() < earlier_leases_.EndOn(id) || !TermIsConfirmed();
 }
 
 void PartitionOwner::ShortenOrphanedRunsWait() {
   // Unless the previous owner had read all workers, an owner before it may
   // still give leases to those that the previous one had not read.
-  const bool only_one =
-      options_.term <= 2 || fully_read_term_ + 1 >= options_.term;
-  if (!earlier_owner_stopped_at_ || !only_one) return;
-  orphaned_runs_until_ = std::min(
-      orphaned_runs_until_, *earlier_owner_stopped_at_ + earlier_lease_bound_);
+  if (options_.term <= 2 || fully_read_term_ + 1 >= options_.term) {
+    earlier_leases_.NoteOnlyPreviousGaveLeases();
+  }
 }
 
 bool PartitionOwner::MayHaveOrphanedRuns(const JobRecord& job) const {
-  if (!job.inherited || unread_workers_.empty()) return false;
-  if (deps_.clock->Now() < orphaned_runs_until_) return true;
-  // Leases that the earlier owner gave have expired, except on workers that
-  // this owner is still reading: it renews the leases of all runs there.
+  if (!job.inherited) return false;
+  // A worker that this owner is still reading holds the leases that it renews.
   return std::any_of(unread_workers_.begin(), unread_workers_.end(),
                      [this](const std::string& id) {
-                       if (MayHoldLongLease(id)) return true;
+                       if (MayHoldEarlierLease(id)) return true;
                        const auto it = workers_.find(id);
                        return it != workers_.end() &&
                               it->second->link->Synced();
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -82,7 +82,11 @@
                                OwnerOptions options, Listener listener)
     : deps_(dependencies),
       options_(std::move(options)),
-      listener_(std::move(listener)) {
+      listener_(std::move(listener)),
+      earlier_leases_({.usual = LeaseBound(options_.task_lease),
+                       .longest = LeaseBound(options_.max_task_lease),
+                       .owner_grace = options_.earlier_owner_grace},
+                      dependencies.clock->Now()) {
   const RecordKeys& keys = options_.keys;
   recorder_ = std::make_shared<Recorder>(
       deps_.store, deps_.timers,
@@ -124,8 +128,6 @@
   UseCatalog(std::move(catalog));
   began_at_ = deps_.clock->Now();
   loading_since_ = began_at_;
-  orphaned_runs_until_ = began_at_ + options_.earlier_owner_grace +
-                         LeaseBound(options_.max_task_lease);
   LoadProgress();
   LoadFinals();
   LoadWorkers();
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -52,8 +52,10 @@
           .on_new_incarnation =
               [this, id](const char* reason) { OnNewIncarnation(id, reason); },
           .on_fenced = [this, id] { OnFenced(id); }});
-  const auto lease = earlier_leases_until_.find(id);
-  if (lease != earlier_leases_until_.end()) {
+  const std::map<std::string, TimePoint>& long_lease_ends =
+      earlier_leases_.LongLeaseEnds();
+  const auto lease = long_lease_ends.find(id);
+  if (lease != long_lease_ends.end()) {
     worker->link->NoteEarlierLease(lease->second);
   }
   // Reports can be matched to jobs only once the jobs are known.
