--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -11,12 +11,14 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "basilusher/Jobs/Catalog.h"
 #include "basilusher/Jobs/Interfaces.h"
 #include "basilusher/Jobs/JobTable.h"
 #include "basilusher/Net/IoLoop.h"
+#include "basilusher/Partition/EarlierLeases.h"
 #include "basilusher/Partition/OwnerOptions.h"
 #include "basilusher/Partition/OwnerState.h"
 #include "basilusher/Partition/Recorder.h"
@@ -26,18 +28,11 @@
 #include "basilusher/Store/StoreWatcher.h"
 #include "basilusher/Store/TransactionalStore.h"
 #include "basilusher/Support/Counters.h"
+#include "basilusher/Support/Json.h"
+#include "basilusher/Support/Log.h"
 
 namespace basilusher {
 
-/// State and queue of a job as shown to clients.
-struct JobStatus {
-  JobState state = JobState::kQueued;
-  std::string queue;
-};
-
-/// Upper bounds of what is left of the leases on workers, by worker id.
-using LongLeases = std::map<std::string, Millis>;
-
 /// Leader that places the fleet's work during one term ("owner" in store keys
 /// and log events). Not thread-safe: I/O thread only.
 class PartitionOwner : public std::enable_shared_from_this<PartitionOwner> {
@@ -89,6 +84,9 @@
   /// Loaded().
   std::optional<int> Pending(const std::string& queue) const;
   std::int64_t Term() const { return options_.term; }
+  std::size_t UnreadWorkers() const { return unread_workers_.size(); }
+  /// Why this owner took its term for over, if it did.
+  const std::optional<Deposal>& Deposed() const { return deposal_; }
   /// True if no write of job records is pending or in flight.
   bool RecordsIdle() const { return recorder_->Idle(); }
 
@@ -120,8 +118,8 @@
   /// Marks a worker as read: its report is complete, or it is known to run
   /// nothing.
   void MarkWorkerRead(const std::string& id);
-  /// Shortens the wait for orphaned runs if no owner but the previous one can
-  /// have given leases.
+  /// Shortens the wait for orphaned runs if the previous owner had read all
+  /// workers.
   void ShortenOrphanedRunsWait();
   /// Takes the current revision of `key` from the answer to a conflicting
   /// write. Returns false if the term of another owner has begun.
@@ -149,9 +147,12 @@
   bool IsSafeToForget(const WorkerState& worker) const;
   /// Forgets a worker that has no directory entry, once that is safe.
   void DropIfSafeToForget(const std::string& id);
-  /// True if runs that an earlier owner started on the worker may still hold a
-  /// lease longer than those that owners renew.
-  bool MayHoldLongLease(const std::string& id) const;
+  /// True if runs that an earlier owner started on an unread worker may still
+  /// hold a lease, and be it from a later owner.
+  bool MayHoldEarlierLease(const std::string& id) const;
+  /// True if no later owner can have renewed leases by now: the store has not
+  /// ended this node's lease, with which the owner record goes.
+  bool TermIsConfirmed() const;
   /// Stops waiting for unread workers whose directory entries have not come
   /// back, and forgets workers without an entry where that is safe.
   void DropGoneWorkers();
@@ -297,6 +298,9 @@
   /// cancellations, or of workers that leave, is too old to start tasks by.
   bool HasStaleView();
   bool Usable(const WorkerState& worker) const;
+  /// True if a later owner may use an incarnation of the worker that would
+  /// still accept this owner's commands.
+  bool MayBelongToLaterOwner(const WorkerState& worker) const;
   std::map<std::string, PoolWorkers> CollectWorkers(TimePoint now);
   /// Returns the jobs with waiting tasks and adds up what their pools run.
   std::vector<PlacementCandidate> CollectCandidates(
@@ -404,9 +408,28 @@
   void EvictFromDraining();
   /// True if the task runs at full speed on a worker that answers.
   bool IsAtWork(const TaskRecord& task);
-  /// Treats unread workers that are not on any instance as lost: they run
-  /// nothing.
-  void DropWorkersWithoutInstance();
+  /// Treats unread workers that several lists in a row show on no instance as
+  /// lost: they run nothing. The last one was asked for at `asked_at`.
+  void DropWorkersWithoutInstance(TimePoint asked_at);
+
+  // OwnerLogs.cc.
+  /// What is known of a worker whose runs are taken for over.
+  Json EvidenceOf(const WorkerState& worker) const;
+  /// Logs that runs on the worker are taken for over: `conclusion` tells which
+  /// and why.
+  void LogTakenForOver(LogLevel level, const char* event,
+                       const WorkerState& worker, const Json& conclusion) const;
+  /// Counts `n` runs that are taken for over without a report of their end.
+  void CountTakenForOver(std::string_view reason, std::size_t n);
+  /// Logs when tasks begin or cease to wait for unread workers, and a change of
+  /// the time until which they wait.
+  void ReportTakeOverWait();
+  void LogRunStart(const JobRecord& job, const TaskId& id, std::int64_t run,
+                   const WorkerState& worker) const;
+  /// Logs the first evidence and tells the listener.
+  void OnDeposed(const Deposal& deposal);
+  void OnFenced(const std::string& worker);
+  void OnOwnerRecordChanged(std::int64_t found);
 
   void Count(const char* name, std::int64_t n = 1);
   void Observe(const char* name, Millis value);
@@ -446,18 +469,21 @@
   /// then does not record that it has read all of them.
   bool gave_up_reading_ = false;
   TimePoint began_at_{};
-  TimePoint orphaned_runs_until_{};
-  std::optional<TimePoint> earlier_owner_stopped_at_;
-  /// When the leases have ended that earlier owners may have given on a worker,
-  /// where that is later than `orphaned_runs_until_`.
-  std::map<std::string, TimePoint> earlier_leases_until_;
-  /// Longest lease that the earlier owner may have given on other workers.
-  Millis earlier_lease_bound_{0};
+  EarlierLeases earlier_leases_;
+  /// The previous owner has stopped, and told of its long leases (true) or not.
+  std::optional<bool> previous_told_leases_;
+  /// Since when tasks have waited for unread workers, and until when at most,
+  /// as logged; zero if none waits.
+  TimePoint take_over_wait_since_{};
+  TimePoint take_over_wait_until_{};
+  std::optional<Deposal> deposal_;
   std::map<std::string, Instance> instances_;
   /// When the list of `instances_` was asked for.
   TimePoint instances_asked_at_{};
   /// Instances of waves that the lists have not shown since.
   std::map<std::string, TimePoint> instance_missing_since_;
+  /// Unread workers that the lists have shown on no instance since.
+  std::map<std::string, TimePoint> worker_missing_since_;
   /// When each worker was first seen on an instance.
   std::map<std::string, TimePoint> worker_first_seen_at_;
   std::map<std::string, InstanceOperation> instance_operations_;
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -73,6 +73,7 @@
     }
     ResolveUnknownJobEnds();
     DropGoneWorkers();
+    ReportTakeOverWait();
     DropKeptJobs();
     FindStragglers();
     Dispatch();
@@ -87,7 +88,14 @@
 bool PartitionOwner::Usable(const WorkerState& worker) const {
   return worker.listed && worker.recorded && !worker.reserved &&
          !worker.entry.draining && worker.unowned_runs_reported == 0 &&
-         worker.link->Ready();
+         worker.link->Ready() && !MayBelongToLaterOwner(worker);
+}
+
+bool PartitionOwner::MayBelongToLaterOwner(const WorkerState& worker) const {
+  // An incarnation that a later owner has read rejects this one's commands. One
+  // that began afterwards has seen no fencing token.
+  return !TermIsConfirmed() &&
+         worker.incarnation_seen_at >= listener_.confirmed_until();
 }
 
 std::map<std::string, PoolWorkers> PartitionOwner::CollectWorkers(
@@ -423,15 +431,7 @@
   if (job->state == JobState::kQueued) {
     Observe("job_wait_ms", now - job->accepted_at);
   }
-  LogEvent(LogLevel::kInfo, "run-start",
-           {{"task", FormatTaskId(id)},
-            {"run", run},
-            {"worker", worker->capacity.id},
-            {"inherited", job->inherited},
-            {"unread", unread_workers_.size()},
-            {"waited_ms", (now - job->accepted_at).count()},
-            {"free_cpu", worker->capacity.room.cpu_millis -
-                             worker->capacity.used.cpu_millis}});
+  LogRunStart(*job, id, run, *worker);
   const std::string* ticket = advice_.Ticket(
       {.job = id.job, .occurrence = id.occurrence, .step = id.step},
       worker->capacity.id, now);
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -82,7 +82,11 @@
                                OwnerOptions options, Listener listener)
     : deps_(dependencies),
       options_(std::move(options)),
-      listener_(std::move(listener)) {
+      listener_(std::move(listener)),
+      earlier_leases_({.usual = LeaseBound(options_.task_lease),
+                       .longest = LeaseBound(options_.max_task_lease),
+                       .owner_grace = options_.earlier_owner_grace},
+                      dependencies.clock->Now()) {
   const RecordKeys& keys = options_.keys;
   recorder_ = std::make_shared<Recorder>(
       deps_.store, deps_.timers,
@@ -105,7 +109,8 @@
                     .stored_at = job->final_at};
                 DropIfFinished(id);
               },
-          .on_deposed = [this] { listener_.on_deposed(); }});
+          .on_deposed =
+              [this](std::int64_t found) { OnOwnerRecordChanged(found); }});
 }
 
 PartitionOwner::~PartitionOwner() { Close(); }
@@ -123,8 +128,6 @@
   UseCatalog(std::move(catalog));
   began_at_ = deps_.clock->Now();
   loading_since_ = began_at_;
-  orphaned_runs_until_ = began_at_ + options_.earlier_owner_grace +
-                         LeaseBound(options_.max_task_lease);
   LoadProgress();
   LoadFinals();
   LoadWorkers();
@@ -249,6 +252,7 @@
   // Reports can be matched to jobs only now that the jobs are known.
   for (const auto& [id, worker] : workers_) worker->link->Begin();
   ShortenOrphanedRunsWait();
+  ReportTakeOverWait();
   if (unread_workers_.empty()) fully_read_term_ = options_.term;
   SaveWorkers();
   ScheduleDispatch();
@@ -282,7 +286,10 @@
       std::clamp<std::int64_t>(unix_ms - spec.accepted_unix_ms, 0, 600000);
   if (spec.offered_term > options_.term) {
     // The accepting node knows of a later owner.
-    listener_.on_deposed();
+    OnDeposed({.by = DeposedBy::kOfferedJob,
+               .source = id,
+               .ours = options_.term,
+               .found = spec.offered_term});
     return;
   }
   const bool found_at_start = !inbox_->Loaded() && options_.term > 1;
@@ -422,11 +429,11 @@
   workers_changed_ = false;
   Json document = Json::object();
   if (fully_read_term_ > 0) document[kFullyReadTermKey] = fully_read_term_;
-  std::vector<std::string> ids;
+  std::map<std::string, std::string> addresses;
   for (const auto& [id, worker] : workers_) {
     if (worker->instance_taken || worker->dropped) continue;
-    document[id] = worker->link->Address().address;
-    ids.push_back(id);
+    addresses[id] = worker->link->Address().address;
+    document[id] = addresses[id];
   }
   Txn txn;
   txn.conditions.push_back({options_.keys.owner, options_.term_revision});
@@ -436,7 +443,7 @@
   txn.writes.push_back(
       {.key = options_.keys.workers, .value = document.dump()});
   deps_.store->Commit(
-      txn, [self = shared_from_this(), ids](const StoreAnswer& answer) {
+      txn, [self = shared_from_this(), addresses](const StoreAnswer& answer) {
         if (self->closed_) return;
         const bool stored = answer.status == TxnStatus::kOk;
         if (stored) self->workers_revision_ = answer.revision;
@@ -453,9 +460,11 @@
                                     }
                                   });
         if (!stored) return;
-        for (const std::string& id : ids) {
+        for (const auto& [id, address] : addresses) {
           WorkerState* worker = self->FindWorker(id);
-          if (worker != nullptr) worker->recorded = true;
+          if (worker != nullptr && worker->link->Address().address == address) {
+            worker->recorded = true;
+          }
         }
         self->ScheduleDispatch();
       });
@@ -467,7 +476,7 @@
   for (const StoredItem& item : conflict.items) {
     if (item.key == options_.keys.owner &&
         item.revision != options_.term_revision) {
-      listener_.on_deposed();
+      OnOwnerRecordChanged(item.revision);
       return false;
     }
     if (item.key == key) *revision = item.revision;
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -51,9 +51,11 @@
           .on_lost = [this, id](WorkerLoss loss) { OnWorkerLost(id, loss); },
           .on_new_incarnation =
               [this, id](const char* reason) { OnNewIncarnation(id, reason); },
-          .on_fenced = [this] { listener_.on_deposed(); }});
-  const auto lease = earlier_leases_until_.find(id);
-  if (lease != earlier_leases_until_.end()) {
+          .on_fenced = [this, id] { OnFenced(id); }});
+  const std::map<std::string, TimePoint>& long_lease_ends =
+      earlier_leases_.LongLeaseEnds();
+  const auto lease = long_lease_ends.find(id);
+  if (lease != long_lease_ends.end()) {
     worker->link->NoteEarlierLease(lease->second);
   }
   // Reports can be matched to jobs only once the jobs are known.
@@ -90,10 +92,13 @@
   if (worker != nullptr && worker->link->Address().address != entry->address) {
     // The worker has moved. What ran at the old address belongs to another
     // incarnation.
+    const bool unread = unread_workers_.contains(id);
     OnWorkerLost(id, WorkerLoss::kAddressChanged);
     CloseLink(worker);
     workers_.erase(id);
     worker = nullptr;
+    // An earlier owner may have used this address, and the record may be older.
+    if (unread) unread_workers_.insert(id);
   }
   const bool added = worker == nullptr;
   if (added) worker = AddWorker(id, entry->address);
@@ -197,6 +202,9 @@
   if (complete && unread_workers_.contains(id)) {
     LogEvent(LogLevel::kInfo, "worker-read",
              {{"worker", id},
+              {"term", options_.term},
+              {"fence", worker->link->Fence()},
+              {"born", worker->link->BornUnixMs()},
               {"running", answer.running.size()},
               {"ended", answer.ended.size()},
               {"unread", unread_workers_.size() - 1},
@@ -248,6 +256,7 @@
       task->progressed_at = task->started_at;
       if (job->state == JobState::kQueued) job->state = JobState::kRunning;
     }
+    task->ended_unreported = false;
     task->checkpoint = running.checkpoint;
     const TimePoint now = deps_.clock->Now();
     if (task->percent != running.percent) task->progressed_at = now;
@@ -281,6 +290,7 @@
     LogEvent(LogLevel::kInfo, "run-adopted",
              {{"task", FormatTaskId(running.task)},
               {"run", running.run},
+              {"term", options_.term},
               {"worker", worker->capacity.id}});
     return;
   }
@@ -318,6 +328,7 @@
   LogEvent(LogLevel::kInfo, "run-unwanted",
            {{"task", FormatTaskId(task)},
             {"run", run},
+            {"term", options_.term},
             {"worker", worker->capacity.id}});
   worker->link->Stop(task, run);
 }
@@ -500,13 +511,18 @@
             : task->sent_at < sent_at && task->started_at < sent_at;
     if (gone) vanished.push_back(id);
   }
+  CountTakenForOver("missing in a report", vanished.size());
   for (const TaskId& id : vanished) {
     JobRecord* job = jobs_.Find(id.job);
     TaskRecord* task = jobs_.FindTask(id);
-    LogEvent(LogLevel::kInfo, "run-vanished",
-             {{"task", FormatTaskId(id)},
-              {"run", task->run},
-              {"worker", worker->capacity.id}});
+    LogTakenForOver(
+        LogLevel::kInfo, "run-vanished", *worker,
+        {{"task", FormatTaskId(id)},
+         {"run", task->run},
+         {"started", task->started_at != TimePoint{}},
+         {"settled", settled},
+         {"report_age_ms", (deps_.clock->Now() - sent_at).count()},
+         {"start_age_ms", (deps_.clock->Now() - task->sent_at).count()}});
     task->start_outcome_unknown = false;
     ForgetUnconfirmed(id, task->run);
     ReturnToQueue(job, id);
--- a/unittests/Partition/SimFleet.cc
+++ b/unittests/Partition/SimFleet.cc
@@ -51,6 +51,7 @@
 void SimFleet::WriteDirectoryEntry(const SimWorker& worker, bool draining) {
   store_->Put("workers/" + worker.id,
               Json({{"pool", worker.pool},
+                    {"address", AddressOf(worker)},
                     {"cpu", worker.room.cpu_millis},
                     {"memory", worker.room.memory_mb},
                     {"draining", draining},
@@ -63,6 +64,12 @@
   worker->alive = false;
   worker->running.clear();
   worker->ended.clear();
+  for (auto& [instance_id, instance] : instances_) {
+    if (instance.worker != id || !list_shows_crashes) continue;
+    instance.worker.clear();
+    instance.crashed_worker = id;
+    instance.state = InstanceState::kDown;
+  }
   timers_->After(Millis(4500), [this, id] { store_->Remove("workers/" + id); });
 }
 
@@ -108,7 +115,10 @@
   }
   worker->address_reused = restart_mode == RestartMode::kNewIdSameAddress;
   for (auto& [instance_id, instance] : instances_) {
-    if (instance.worker == id) instance.worker = NewWorker(instance.pool);
+    if (instance.crashed_worker != id && instance.worker != id) continue;
+    instance.crashed_worker.clear();
+    instance.state = InstanceState::kUp;
+    instance.worker = NewWorker(instance.pool);
   }
 }
 
@@ -137,6 +147,12 @@
   instances_.erase("m-" + id);
 }
 
+void SimFleet::ChangeAddress(const std::string& id,
+                             const std::string& address) {
+  Find(id)->address = address;
+  WriteDirectoryEntry(*Find(id), false);
+}
+
 void SimFleet::Drain(const std::string& id) {
   WriteDirectoryEntry(*Find(id), true);
 }
@@ -165,6 +181,11 @@
 }
 
 void SimFleet::EndRun(SimWorker* worker, const TaskId& task, EndKind kind) {
+  EndRunAt(worker, task, kind, timers_->Now());
+}
+
+void SimFleet::EndRunAt(SimWorker* worker, const TaskId& task, EndKind kind,
+                        TimePoint at) {
   const SimWorker::Run run = worker->running.at(task);
   worker->running.erase(task);
   worker->ended.push_back({.number = ++worker->last_end_number,
@@ -172,12 +193,32 @@
                            .run = run.run,
                            .kind = kind,
                            .checkpoint = run.checkpoint});
-  worker->end_times[worker->last_end_number] = timers_->Now();
+  worker->end_times[worker->last_end_number] = at;
   worker->highest_run[task] = std::max(worker->highest_run[task], run.run);
   if (kind == EndKind::kDone) done_run_[task] = run.run;
 }
 
+void SimFleet::EndRunsOnTime(SimWorker* worker) {
+  const TimePoint now = timers_->Now();
+  const TimePoint lease_end = worker->born_at + Millis(worker->lease_ms);
+  if (lease_end < now) worker->expired_at = lease_end;
+  std::multimap<TimePoint, std::pair<TaskId, EndKind>> ends;
+  for (const auto& [task, run] : worker->running) {
+    const bool hangs = worker->hangs && !run.stopping;
+    const bool lapses = hangs || lease_end < run.ends_at;
+    const EndKind kind = lapses         ? EndKind::kLapsed
+                         : run.stopping ? EndKind::kStopped
+                                        : run.kind;
+    ends.emplace(lapses ? lease_end : run.ends_at, std::pair(task, kind));
+  }
+  for (const auto& [at, end] : ends) {
+    const bool due = end.second == EndKind::kLapsed ? at < now : at <= now;
+    if (due) EndRunAt(worker, end.first, end.second, at);
+  }
+}
+
 void SimFleet::EndDueRuns(SimWorker* worker) {
+  if (ends_on_time) return EndRunsOnTime(worker);
   const TimePoint now = timers_->Now();
   const bool lapsed = ClockMs(*worker) > worker->lease_ms;
   if (lapsed) worker->expired_at = worker->born_at + Millis(worker->lease_ms);
@@ -259,11 +300,17 @@
   }
 }
 
-SimFault SimFleet::FaultFor(const SimWorker& worker, std::int64_t fence) {
+std::string AddressOf(const SimWorker& worker) {
+  return worker.address.empty() ? worker.id + ":1" : worker.address;
+}
+
+SimFault SimFleet::FaultFor(const SimWorker& worker,
+                            const WorkerAddress& address, std::int64_t fence) {
   const bool unreachable = (worker.unreachable_from_fence &&
                             fence >= *worker.unreachable_from_fence) ||
                            (worker.unreachable_below_fence &&
-                            fence < *worker.unreachable_below_fence);
+                            fence < *worker.unreachable_below_fence) ||
+                           address.address != AddressOf(worker);
   return !worker.alive || unreachable ? SimFault::kRequestLost : worker.fault;
 }
 
@@ -366,7 +413,7 @@
                    [done] { done({.result = CommandResult::kOtherWorker}); });
     return;
   }
-  CallWithFault<StartAnswer>(FaultFor(*worker, command.fence),
+  CallWithFault<StartAnswer>(FaultFor(*worker, address, command.fence),
                              [this, worker, command]() -> StartAnswer {
                                return {.result = DoStart(worker, command),
                                        .worker_clock_ms = ClockMs(*worker)};
@@ -390,7 +437,7 @@
                        const std::function<void(CommandResult)>& done) {
   SimWorker* worker = Find(address.id);
   CallWithFault<CommandResult>(
-      FaultFor(*worker, fence),
+      FaultFor(*worker, address, fence),
       [this, worker, task, run, fence] {
         if (!worker->alive) return CommandResult::kUnknown;
         EndDueRuns(worker);
@@ -413,7 +460,7 @@
                     std::function<void(CommandResult)> done) {
   SimWorker* worker = Find(address.id);
   CallWithFault<CommandResult>(
-      FaultFor(*worker, fence),
+      FaultFor(*worker, address, fence),
       [worker, task, run, percent, fence] {
         if (fence < worker->fence) return CommandResult::kFenced;
         worker->fence = fence;
@@ -473,15 +520,15 @@
   return answer;
 }
 
-void SimFleet::WaitHold(const std::string& id, HoldCommand command,
+void SimFleet::WaitHold(const WorkerAddress& address, HoldCommand command,
                         TimePoint until,
                         const std::function<void(const HoldAnswer&)>& done) {
-  SimWorker* worker = Find(id);
+  SimWorker* worker = Find(address.id);
   if (worker->address_reused) {
     done({.result = CommandResult::kOtherWorker});
     return;
   }
-  if (FaultFor(*worker, command.fence) == SimFault::kRequestLost) {
+  if (FaultFor(*worker, address, command.fence) == SimFault::kRequestLost) {
     timers_->After(kCallTimeout, [done] { done({}); });
     return;
   }
@@ -491,23 +538,26 @@
     timers_->After(kWorkerLatency, [done, answer] { done(answer); });
     return;
   }
-  timers_->After(Millis(10), [this, id, command, until, done] {
-    WaitHold(id, command, until, done);
+  timers_->After(Millis(10), [this, address, command, until, done] {
+    WaitHold(address, command, until, done);
   });
 }
 
 void SimFleet::Hold(const WorkerAddress& address, const HoldCommand& command,
                     std::function<void(const HoldAnswer&)> done) {
   SimWorker* worker = Find(address.id);
-  if (worker->fault == SimFault::kAnswerLost) {
-    timers_->After(kWorkerLatency, [this, worker, command] {
-      if (worker->alive) DoHold(worker, command);
+  if (worker->fault == SimFault::kAnswerLost || worker->delays_holds) {
+    const Millis delay = worker->delays_holds ? kDelayedBy : kWorkerLatency;
+    timers_->After(delay, [this, worker, address, command] {
+      const bool reached =
+          worker->alive && address.address == AddressOf(*worker);
+      if (reached) DoHold(worker, command);
     });
     timers_->After(kCallTimeout, [done] { done({}); });
     return;
   }
-  timers_->After(kWorkerLatency, [this, id = address.id, command, done] {
-    WaitHold(id, command, timers_->Now() + command.wait, done);
+  timers_->After(kWorkerLatency, [this, address, command, done] {
+    WaitHold(address, command, timers_->Now() + command.wait, done);
   });
 }
 
@@ -552,7 +602,8 @@
         AddViolation("instance " + instance->id +
                      " taken with unfinished tasks");
       }
-      Crash(instance->worker);
+      const std::string worker_id = instance->worker;
+      Crash(worker_id);
     }
   }
   instance->worker.clear();
