Leave a vanished run's task to another run of it in the same report

What callers would see: a task runs on two workers. A start of a former owner that is carried out late reaches a worker's next incarnation.

Vanished runs are now found first, so that the task waits when the other run is handled, and adopts it. UnnoticedRestartTest.ARunThatReachedTheNewIncarnation... failed before with a duplicate execution.

--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -188,9 +188,10 @@
   worker->unowned_runs_reported = 0;
   worker->unknown_job_runs_reported = 0;
   for (const EndedTask& end : answer.ended) OnEnded(worker, end, &changed);
-  for (const RunningTask& running : answer.running) OnRunning(worker, running);
-  // A run that is missing from a truncated report may have ended.
+  // A run that is missing from a truncated report may have ended. One that has
+  // vanished leaves its task to another run of it in the report.
   if (!answer.more_ends) FindVanished(worker, answer, sent_at, settled);
+  for (const RunningTask& running : answer.running) OnRunning(worker, running);
   FreeAbandonedRuns(worker, answer, sent_at);
   ResolveLostRuns(worker, answer, settled);
   UpdatePollWait(worker);
--- a/unittests/Partition/UnnoticedRestartTest.cc
+++ b/unittests/Partition/UnnoticedRestartTest.cc
@@ -63,6 +63,32 @@
   EXPECT_EQ(sim.owner->FindLongLeases().count(worker), 1U);
 }
 
+// The owner ordered the run of the new incarnation to stop, and started its
+// task elsewhere before that run had ended.
+TEST_F(UnnoticedRestartTest, ARunThatReachedTheNewIncarnationIsTheTasksOwn) {
+  sim.fleet.AddWorker("pool");
+  sim.Run(Millis(300));
+  sim.Submit(FleetSim::MakeJob(kJob, 1, 20000));
+  // So long that the restart is no evidence against the task, whose next start
+  // would wait for a write.
+  sim.Run(Millis(6000));
+  const TaskId task{.job = kJob, .occurrence = 0, .step = 0, .index = 0};
+  std::string first;
+  for (const std::string& id : sim.fleet.AliveWorkerIds()) {
+    if (sim.fleet.Find(id)->running.contains(task)) first = id;
+  }
+  SimWorker* state = sim.fleet.Find(first);
+  SimWorker::Run late = state->running.at(task);
+  sim.Restart(first, Millis(20));
+  // A start of a former owner, carried out late.
+  ++late.run;
+  state->running[task] = late;
+  state->lease_ms = kUsualLeaseMs;
+  sim.Run(Millis(3000));
+  EXPECT_EQ(sim.fleet.RunningTasks(kJob), 1);
+  EXPECT_EQ(sim.fleet.StartedRuns(), 1);
+}
+
 // review/1: the first poll of the new incarnation acknowledged as many ends as
 // the one before had reported; the tasks were run again.
 TEST_F(UnnoticedRestartTest, EndsThatWereNeverReportedAreNotAcknowledged) {
