--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -134,8 +134,8 @@
   /// fresh.
   void ListCancellations();
 
-  // OwnerWorkers.cc, OwnerRoom.cc and OwnerReconciliation.cc: directory entries,
-  // reports of workers, ends of runs.
+  // OwnerWorkers.cc, OwnerRoom.cc and OwnerReconciliation.cc: directory
+  // entries, reports of workers, ends of runs.
   void OnDirectory(const StoredItem& item);
   WorkerState* AddWorker(const std::string& id, const std::string& address);
   void CloseLink(WorkerState* worker);
