Take no entry of an earlier incarnation for the worker's new address

What callers would see: a task runs on two workers. A late heartbeat of the earlier incarnation brings its directory entry back with its address; the owner took the present one for gone and started its tasks elsewhere.

The entry's start is compared with that of the incarnation that answers.

--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -90,13 +90,15 @@
   if (worker != nullptr && worker->link->Address().address != entry->address) {
     // The worker has moved. What ran at the old address belongs to another
     // incarnation.
-    const bool unread = unread_workers_.contains(id);
+    // A late heartbeat of an earlier incarnation says nothing of this one.
+    if (entry->born_unix_ms != 0 &&
+        entry->born_unix_ms < worker->link->BornUnixMs()) {
+      return;
+    }
     OnWorkerLost(id, WorkerLoss::kAddressChanged);
     CloseLink(worker);
     workers_.erase(id);
     worker = nullptr;
-    // An earlier owner may have used this address, and the record may be older.
-    if (unread) unread_workers_.insert(id);
   }
   const bool added = worker == nullptr;
   if (added) worker = AddWorker(id, entry->address);
