Count no worker as read that is lost in doubt of the term, or has moved

What callers would see: a task starts again after its noted end. A worker with more ends than one list holds falls silent to an owner in doubt, which then counted it as read; its successor had noted the ends. And an owner whose last unread worker moved recorded that it had read all of them.

--- a/lib/Partition/OwnerCrashes.cc
+++ b/lib/Partition/OwnerCrashes.cc
@@ -72,7 +72,11 @@
   worker->unwanted_runs.clear();
   worker->unowned_runs_reported = 0;
   if (loss != WorkerLoss::kLeasesExpired) ConfirmCrash(worker);
-  MarkWorkerRead(id);
+  // Nothing is known of the worker at another address, and in doubt of the term
+  // a later owner may know more of this one.
+  if (loss != WorkerLoss::kAddressChanged && TermIsConfirmed()) {
+    MarkWorkerRead(id);
+  }
   DropIfSafeToForget(id);
   ScheduleDispatch();
 }
