Keep the limit of a workspace while runs may go on unreported

What callers would see: QUOTA, 8 tasks under a limit of 4. An owner in doubt took the runs on a silent worker for over and gave their share of the workspace's limit to other tasks, while its successor kept the runs alive.

In doubt they go on counting.

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -318,6 +318,9 @@
                  const std::vector<WorkerCapacity*>& workers);
   /// Upper bound of what orphaned runs may use on unread workers, by workspace.
   std::map<std::string, Resources> OrphanedUse() const;
+  /// Adds what runs may use that were taken for over without a report of their
+  /// worker, by workspace.
+  void AddUnreportedUse(std::map<std::string, Resources>* use) const;
   void StartTask(JobRecord* job, const TaskId& id, WorkerState* worker,
                  std::int64_t run);
   /// Marks the task as starting on the worker and takes its room there.
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -216,6 +216,7 @@
   if (HasStaleView()) return;
   const TimePoint now = deps_.clock->Now();
   workspace_orphaned_ = OrphanedUse();
+  if (!TermIsConfirmed()) AddUnreportedUse(&workspace_orphaned_);
   SendStoredStarts();
   std::map<std::string, PoolWorkers> pools = CollectWorkers(now);
   std::vector<PlacementCandidate> candidates = CollectCandidates(&pools, now);
--- a/lib/Partition/OwnerRoom.cc
+++ b/lib/Partition/OwnerRoom.cc
@@ -86,4 +86,21 @@
   });
 }
 
+void PartitionOwner::AddUnreportedUse(
+    std::map<std::string, Resources>* use) const {
+  for (const auto& [id, job] : jobs_.All()) {
+    if (IsFinal(job->state)) continue;
+    for (const auto& [number, occurrence] : job->occurrences) {
+      for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+        const std::vector<TaskRecord>& tasks = occurrence.steps[s].tasks;
+        const std::int64_t unreported = std::count_if(
+            tasks.begin(), tasks.end(), [](const TaskRecord& task) {
+              return task.state == TaskState::kWaiting && task.ended_unreported;
+            });
+        (*use)[job->spec.workspace] += job->spec.steps[s].need * unreported;
+      }
+    }
+  }
+}
+
 }  // namespace basilusher
