--- a/unittests/Partition/StaleFactsTest.cc
+++ b/unittests/Partition/StaleFactsTest.cc
@@ -11,7 +11,7 @@
 
 constexpr const char* kJob = "00000000000000a1";
 constexpr const char* kOther = "00000000000000a2";
-constexpr int kTasks = 4;
+constexpr std::int64_t kTasks = 4;
 constexpr std::int64_t kSecond = 2000000;
 
 JobSpec Lasting(const char* id) {
