--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -94,8 +94,8 @@
 bool PartitionOwner::MayBelongToLaterOwner(const WorkerState& worker) const {
   // An incarnation that a later owner has read rejects this one's commands. One
   // that began afterwards has seen no fencing token.
-  return !TermIsConfirmed() &&
-         worker.incarnation_seen_at >= listener_.confirmed_until();
+  return worker.incarnation_seen_at >= listener_.confirmed_until() &&
+         !TermIsConfirmed();
 }
 
 std::map<std::string, PoolWorkers> PartitionOwner::CollectWorkers(
