--- a/test/soak/__init__.py
+++ b/test/soak/__init__.py
@@ -6,4 +6,4 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(
     os.path.abspath(__file__))))
-sys.path.insert(0, os.path.join(ROOT, "review", "standins"))
+sys.path.insert(0, os.path.join(ROOT, "test", "soak", "standins"))
