Log: tell of which process and class the omitted lines are, and count them

A line "log-lines-omitted" existed, without process, time or level, and a reader that had stopped made it grow without bound.

--- a/include/basilusher/Support/Log.h
+++ b/include/basilusher/Support/Log.h
@@ -39,6 +39,8 @@
   virtual void Write(LogLevel level, const std::string& line) = 0;
   /// Writes out what is buffered. Called from any thread.
   virtual void Flush() {}
+  /// Number of lines left out so far. Called from any thread.
+  virtual std::int64_t Omitted() const { return 0; }
 };
 
 /// Opens the log on `sink`. Call once, before threads start.
@@ -57,6 +59,9 @@
 /// Writes out what the sink has buffered. Thread-safe.
 void FlushLog();
 
+/// Number of lines that the sink has left out. Thread-safe.
+std::int64_t OmittedLogLines();
+
 /// Closes the log and flushes it. Call once, after threads have ended.
 void CloseLog();
 
--- a/lib/Support/Log.cc
+++ b/lib/Support/Log.cc
@@ -44,6 +44,10 @@
   if (TheLog() != nullptr) TheLog()->sink->Flush();
 }
 
+std::int64_t OmittedLogLines() {
+  return TheLog() == nullptr ? 0 : TheLog()->sink->Omitted();
+}
+
 void CloseLog() {
   FlushLog();
   TheLog().reset();
--- a/lib/Support/StdoutLog.cc
+++ b/lib/Support/StdoutLog.cc
@@ -2,9 +2,12 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
+#include <utility>
 
 #include "basilusher/Support/Clock.h"
+#include "basilusher/Support/Json.h"
 #include "basilusher/Support/Log.h"
 
 namespace basilusher {
@@ -20,6 +23,8 @@
 
 class StdoutSink : public LogSink {
  public:
+  explicit StdoutSink(std::string process) : process_(std::move(process)) {}
+
   void Write(LogLevel level, const std::string& line) override {
     const std::chrono::seconds now =
         std::chrono::duration_cast<std::chrono::seconds>(
@@ -34,6 +39,7 @@
     // Half of the buffer is kept for summaries and lines of failures.
     const std::size_t room = sampled ? kMaxBuffered / 2 : kMaxBuffered;
     if (over_rate || buffer_.size() + line.size() + 1 > room) {
+      ++(sampled ? omitted_infos_ : omitted_others_);
       ++omitted_;
       return;
     }
@@ -53,6 +59,8 @@
     buffer_.erase(0, begin);
   }
 
+  std::int64_t Omitted() const override { return omitted_; }
+
  private:
   static bool Ready() {
     pollfd descriptor = {.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
@@ -60,22 +68,39 @@
   }
 
   void ReportOmitted() {
-    if (omitted_ == 0) return;
-    buffer_ += "{\"event\":\"log-lines-omitted\",\"count\":" +
-               std::to_string(omitted_) + "}\n";
-    omitted_ = 0;
+    const std::int64_t count = omitted_infos_ + omitted_others_;
+    if (count == 0) return;
+    const Json fields = {{"event", "log-lines-omitted"},
+                         {"level", "warning"},
+                         {"process", process_},
+                         {"time", WallMicros()},
+                         {"count", count},
+                         {"infos", omitted_infos_}};
+    const std::string line = DumpLossy(fields);
+    // While the reader does not read, the lines are counted on.
+    if (buffer_.size() + line.size() + 1 > kMaxBuffered) return;
+    buffer_ += line;
+    buffer_ += '\n';
+    omitted_infos_ = 0;
+    omitted_others_ = 0;
   }
 
+  std::string process_;
   std::string buffer_;
   std::chrono::seconds second_{0};
   int infos_ = 0;
+  /// Lines left out since they were last reported: informational ones, and
+  /// others.
+  std::int64_t omitted_infos_ = 0;
+  std::int64_t omitted_others_ = 0;
+  /// All lines left out.
   std::int64_t omitted_ = 0;
 };
 
 }  // namespace
 
 void OpenStdoutLog(const std::string& process) {
-  OpenLogOn(process, LogLevel::kInfo, std::make_unique<StdoutSink>());
+  OpenLogOn(process, LogLevel::kInfo, std::make_unique<StdoutSink>(process));
 }
 
 }  // namespace basilusher
--- a/unittests/Support/SupportTest.cc
+++ b/unittests/Support/SupportTest.cc
@@ -3,8 +3,11 @@
 // The property library's bridge needs the test library first.
 #include <rapidcheck/gtest.h>
 
+#include <chrono>
 #include <fstream>
 #include <set>
+#include <sstream>
+#include <thread>
 
 #include "basilusher/Support/Counters.h"
 #include "basilusher/Support/Digest.h"
@@ -122,5 +125,36 @@
   EXPECT_EQ(lines.find("\"number\":9999"), std::string::npos);
 }
 
+/// A reader of the log must be able to tell that decisions are missing, and of
+/// which process.
+TEST(StdoutLog, OmittedLinesAreCounted) {
+  testing::internal::CaptureStdout();
+  OpenStdoutLog("node-1");
+  constexpr int kLines = 10000;
+  for (int i = 0; i < kLines; ++i) {
+    LogEvent(LogLevel::kInfo, "decision", {{"number", i}});
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(1100));
+  LogEvent(LogLevel::kNotice, "summary", {{"pool", "a"}});
+  const std::int64_t counted = OmittedLogLines();
+  CloseLog();
+  std::istringstream lines(testing::internal::GetCapturedStdout());
+  std::int64_t decisions = 0;
+  std::int64_t omitted = 0;
+  for (std::string line; std::getline(lines, line);) {
+    const Json fields = Json::parse(line);
+    if (fields.at("event") == "decision") ++decisions;
+    if (fields.at("event") != "log-lines-omitted") continue;
+    omitted += fields.at("count").get<std::int64_t>();
+    EXPECT_EQ(fields.at("infos"), fields.at("count"));
+    EXPECT_EQ(fields.at("process"), "node-1");
+    EXPECT_EQ(fields.at("level"), "warning");
+    EXPECT_GT(fields.at("time"), 0);
+  }
+  EXPECT_GT(omitted, 0);
+  EXPECT_EQ(omitted, counted);
+  EXPECT_EQ(decisions + omitted, kLines);
+}
+
 }  // namespace
 }  // namespace basilusher
