--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -77,6 +77,7 @@
     DropKeptJobs();
     FindStragglers();
     Dispatch();
+    ReportWaits();
   } else {
     CheckLoading();
   }
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -118,6 +118,7 @@
 void PartitionOwner::Close() {
   if (closed_) return;
   closed_ = true;
+  ClearWaitGauges();
   recorder_->Close();
   if (inbox_ != nullptr) inbox_->Close();
   if (directory_ != nullptr) directory_->Close();
