--- a/unittests/Node/EndOfTermTest.cc
+++ b/unittests/Node/EndOfTermTest.cc
@@ -116,5 +116,86 @@
   EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
 }
 
+/// Outage of the store in which all leases of runs end, of at most 4.2 s.
+constexpr Millis kOutage{5000};
+/// A lasting task runs again within 7 s of the end of the disruption (4 s and
+/// 3 s).
+constexpr Millis kAfterDisruption{7000};
+
+/// Owners that stop as planned in an outage of the store and are gone when it
+/// is back. One worker has crashed with the outage, another one is silent.
+class StopInOutageTest : public ::testing::Test {
+ protected:
+  StopInOutageTest() {
+    sim.fleet.ends_on_time = true;
+    sim.catalog.pools.erase("spare");
+    const std::string crashed = sim.fleet.AddWorker("pool");
+    Add("a");
+    sim.Run(Millis(1500));
+    JobSpec job = FleetSim::MakeJob(kJob, 1, 0);
+    job.steps[0].lasting = true;
+    job.offered_term = 1;
+    sim.Submit(job);
+    sim.Run(Millis(500));
+    EXPECT_TRUE(sim.fleet.Find(crashed)->running.contains({.job = kJob}));
+    const std::string silent = sim.fleet.AddWorker("pool");
+    sim.fleet.AddWorker("pool");
+    Add("b");
+    sim.Run(Millis(8000));
+    sim.fleet.Crash(crashed);
+    sim.fleet.Find(silent)->fault = SimFault::kRequestLost;
+  }
+
+  void Add(const std::string& name) {
+    nodes[name] = std::make_unique<SimNode>(&sim, &peers, name);
+  }
+
+  /// Returns at the store's return. The owner's lease has ended at the store.
+  void StopInOutage(const std::string& name) {
+    SimNode& owner = *nodes.at(name);
+    ASSERT_NE(owner.agent->LocalOwner(), nullptr);
+    for (const auto& [other, node] : nodes) node->store.silent = true;
+    sim.Run(Millis(300));
+    owner.agent->Stop([] {});
+    sim.Run(Millis(1000));
+    peers.Attach(name + ":7000", &gone);
+    sim.Run(kOutage - Millis(1300));
+    sim.store.Remove(RecordKeys().owner);
+    sim.store.Remove(RecordKeys().node_prefix + name);
+    stopped.insert(name);
+    for (const auto& [other, node] : nodes) {
+      node->store.silent = stopped.contains(other);
+    }
+  }
+
+  void ExpectRunsAgain(const std::string& successor) {
+    sim.Run(kAfterDisruption);
+    EXPECT_NE(nodes.at(successor)->agent->LocalOwner(), nullptr);
+    EXPECT_EQ(sim.fleet.RunningTasks(kJob), 1);
+    EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
+  }
+
+  FleetSim sim;
+  SimPeers peers{&sim.timers};
+  /// Answers nothing.
+  PeerMethods gone;
+  std::map<std::string, std::unique_ptr<SimNode>> nodes;
+  std::set<std::string> stopped;
+};
+
+TEST_F(StopInOutageTest, TheNextOwnerDoesNotWaitForLeasesThatAreOver) {
+  StopInOutage("a");
+  ExpectRunsAgain("b");
+}
+
+TEST_F(StopInOutageTest, AfterTwoStopsTheNextOwnerDoesNotWaitForThemEither) {
+  StopInOutage("a");
+  sim.Run(Millis(1000));
+  Add("c");
+  sim.Run(Millis(1000));
+  StopInOutage("b");
+  ExpectRunsAgain("c");
+}
+
 }  // namespace
 }  // namespace basilusher
