Start lasting tasks again that crash their workers, after pauses

Cause: two losses in a task's startup gave it up under every later owner, as the evidence is stored. A worker that was only cut off counted like one that crashed: its entry stayed away for 2.3 s after the store's return, or an owner that took over found no worker at all.

A crash now counts towards giving up a lasting task only if it was seen: another worker or incarnation took the worker's place, or a list of instances asked for since has the worker no more. Before that the task starts again after at most 4 s, so that with the wait for a confirmation (5 s) it runs within 9 s of its last run. The time of the last crash is stored, so that the next owner does not begin the pause anew.

TaskWaitsTest.ATaskThatWasGivenUpIsReportedAsSuch expected the verdict within a minute; it now asks for the pause within the minute and for the verdict after the last start.

--- a/include/basilusher/Jobs/CrashEvidence.h
+++ b/include/basilusher/Jobs/CrashEvidence.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,11 @@
   /// Number of runs past their startup phase that were lost while another run
   /// on the worker was in its startup phase, which explains the crash better.
   int explained_by_others = 0;
+  /// Number of `runs` whose worker is known to have crashed: the others may
+  /// only have been cut off.
+  int seen = 0;
+  /// Time of the last crash, Unix milliseconds; zero if none is known.
+  std::int64_t last_unix_ms = 0;
   /// Runs whose worker does not answer, and those of a suspect that have not
   /// worked for `kProvenHarmless` yet: stored before the start is sent, so that
   /// a later owner can count them.
@@ -75,26 +81,35 @@
 /// Adds the crash of `worker` under `run`. `worked_for` is the time for which
 /// the run is known to have worked; `others_in_startup` tells whether further
 /// runs on the worker were in their startup phase; `start_confirmed` whether
-/// the run is known to have begun. Thread-safe.
+/// the run is known to have begun; `crash_seen` whether the worker is known to
+/// have crashed, and was not only cut off. Thread-safe.
 void RecordCrash(CrashEvidence* evidence, std::int64_t run,
                  const std::string& worker, Millis worked_for,
-                 bool others_in_startup, bool start_confirmed = true);
+                 bool others_in_startup, bool start_confirmed = true,
+                 bool crash_seen = true);
 
 /// Adds the crash of a worker on which `run` may not have started, or may have
 /// worked for some time. It counts like one at any age, so that at least three
 /// others are needed for a verdict. Thread-safe.
-void RecordPossibleCrash(CrashEvidence* evidence, std::int64_t run);
+void RecordPossibleCrash(CrashEvidence* evidence, std::int64_t run,
+                         bool crash_seen = true);
 
 /// Thread-safe.
 CrashVerdict JudgeCrashes(const CrashEvidence& evidence);
 
-/// The same for a lasting task. It is beside all that its worker starts, so
-/// crashes that other runs may have caused do not suffice by themselves. If it
-/// `must_stay_available`, only as many crashes suffice as do at any age.
-/// Thread-safe.
+/// The same for a lasting task, which must run again unless it truly crashes
+/// its workers: only crashes that were seen count. It is beside all that its
+/// worker starts, so crashes that other runs may have caused do not suffice by
+/// themselves. If it `must_stay_available`, only as many crashes suffice as do
+/// at any age. Thread-safe.
 CrashVerdict JudgeCrashesOfLasting(const CrashEvidence& evidence,
                                    bool must_stay_available);
 
+/// Time after its last crash for which a lasting task is not started again;
+/// nothing if it is never. Thread-safe.
+std::optional<Millis> RestartPauseOfLasting(const CrashEvidence& evidence,
+                                            bool must_stay_available);
+
 }  // namespace basilusher
 
 #endif  // BASILUSHER_JOBS_CRASHEVIDENCE_H_
--- a/include/basilusher/Jobs/JobTable.h
+++ b/include/basilusher/Jobs/JobTable.h
@@ -79,7 +79,8 @@
   /// to have taken effect.
   TimePoint sent_at{};
   TimePoint started_at{};
-  /// Earliest time of the next start, after a failed run or a refused start.
+  /// Earliest time of the next start, after a failed run, a refused start or
+  /// crashes under a lasting task.
   TimePoint not_before{};
   /// Last reported `RunningTask::percent`.
   int percent = 0;
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -212,8 +212,14 @@
   void ResolveLostRuns(WorkerState* worker, const HoldAnswer& answer,
                        bool settled);
   /// Counts the crash of the worker against the runs that were lost.
-  void ConfirmCrash(WorkerState* worker);
+  /// Unless `crash_seen`, it may only have been cut off.
+  void ConfirmCrash(WorkerState* worker, bool crash_seen = true);
+  /// True if the list of instances, asked for since the worker's directory
+  /// entry went away, has it on none.
+  bool IsOnNoInstance(const WorkerState& worker) const;
   static bool MustGiveUp(const StepSpec& step, const TaskRecord& task);
+  /// Delays the next start of a lasting task under which workers have crashed.
+  void PauseLasting(const StepSpec& step, const TaskId& id, TaskRecord* task);
   /// Fails the job of a task that crashes its workers. A lasting task is not
   /// started again instead.
   void GiveUpTask(JobRecord* job, const TaskId& id);
--- a/include/basilusher/Partition/TaskWaits.h
+++ b/include/basilusher/Partition/TaskWaits.h
@@ -29,6 +29,8 @@
   /// The start is held until the store knows of it.
   kStartNotStored,
   kRetryDelay,
+  /// Workers have crashed under it: PartitionOwner::PauseLasting().
+  kPausedAfterCrashes,
   /// Its last run was taken for over without a report, and a later owner may
   /// have renewed that run's lease.
   kEndUnreported,
@@ -57,7 +59,7 @@
   kNoneFound,
 };
 
-inline constexpr EnumTable<WaitCondition, 26> kWaitConditionNames = {{
+inline constexpr EnumTable<WaitCondition, 27> kWaitConditionNames = {{
     {WaitCondition::kMiscounted, "miscounted"},
     {WaitCondition::kGivenUp, "given-up"},
     {WaitCondition::kTermUnconfirmed, "term-unconfirmed"},
@@ -68,6 +70,7 @@
     {WaitCondition::kStartUnanswered, "start-unanswered"},
     {WaitCondition::kStartNotStored, "start-not-stored"},
     {WaitCondition::kRetryDelay, "retry-delay"},
+    {WaitCondition::kPausedAfterCrashes, "paused-after-crashes"},
     {WaitCondition::kEndUnreported, "end-unreported"},
     {WaitCondition::kLossUnconfirmed, "loss-unconfirmed"},
     {WaitCondition::kEvidenceNotStored, "evidence-not-stored"},
@@ -110,6 +113,7 @@
   bool start_sent = false;
   bool start_held = false;
   bool in_retry_delay = false;
+  bool suspected = false;
   bool end_unreported = false;
   bool term_confirmed = true;
   bool loss_unconfirmed = false;
--- a/lib/Jobs/JobCodec.cc
+++ b/lib/Jobs/JobCodec.cc
@@ -110,7 +110,8 @@
         row.push_back({crashes.runs, crashes.in_startup,
                        crashes.alone_in_startup, EncodeUnconfirmed(crashes),
                        crashes.startup_workers, crashes.unconfirmed_starts,
-                       crashes.explained_by_others});
+                       crashes.explained_by_others, crashes.seen,
+                       crashes.last_unix_ms});
       }
       rows.push_back(std::move(row));
     }
@@ -154,6 +155,9 @@
         .unconfirmed_starts = crashes.size() > 5 ? crashes.at(5).get<int>() : 0,
         .explained_by_others =
             crashes.size() > 6 ? crashes.at(6).get<int>() : 0,
+        .seen = crashes.size() > 7 ? crashes.at(7).get<int>() : 0,
+        .last_unix_ms =
+            crashes.size() > 8 ? crashes.at(8).get<std::int64_t>() : 0,
         .unconfirmed = DecodeUnconfirmed(crashes.at(3))};
   }
 }
--- a/lib/Partition/OwnerCrashes.cc
+++ b/lib/Partition/OwnerCrashes.cc
@@ -189,7 +189,7 @@
   recorder_->Save({id.job}, nullptr);
 }
 
-void PartitionOwner::ConfirmCrash(WorkerState* worker) {
+void PartitionOwner::ConfirmCrash(WorkerState* worker, bool crash_seen) {
   worker->reborn = false;
   worker->inherited_lost_runs = false;
   const std::map<std::pair<TaskId, std::int64_t>, LostRun> lost_runs =
@@ -204,7 +204,9 @@
       lost_runs.begin(), lost_runs.end(),
       [](const auto& run) { return run.second.worked_for < kStartupPhase; });
   LogTakenForOver(LogLevel::kWarning, "worker-crashed", *worker,
-                  {{"runs", lost_runs.size()}, {"in_startup", in_startup}});
+                  {{"runs", lost_runs.size()},
+                   {"in_startup", in_startup},
+                   {"crash_seen", crash_seen}});
   for (const auto& [key, lost] : lost_runs) {
     const auto& [id, run] = key;
     const Millis worked_for = lost.worked_for;
@@ -218,12 +220,13 @@
     const bool others_in_startup =
         in_startup > (worked_for < kStartupPhase ? 1 : 0);
     if (lost.inherited && !lost.inherited->in_startup) {
-      RecordPossibleCrash(&task->crashes, run);
+      RecordPossibleCrash(&task->crashes, run, crash_seen);
     } else {
       RecordCrash(&task->crashes, run, worker->capacity.id,
                   CrashAge(step, worked_for), others_in_startup,
-                  lost.start_confirmed);
+                  lost.start_confirmed, crash_seen);
     }
+    task->crashes.last_unix_ms = WallMicros() / 1000;
     if (!IsSuspect(*task)) {
       if (!task->crashes.runs.empty()) recorder_->Save({id.job}, nullptr);
       continue;
@@ -234,6 +237,7 @@
               {"worker", worker->capacity.id},
               {"worked_for_ms", lost.worked_for.count()},
               {"crashes", task->crashes.runs.size()},
+              {"seen", task->crashes.seen},
               {"in_startup", task->crashes.in_startup},
               {"alone_in_startup", task->crashes.alone_in_startup},
               {"unconfirmed_starts", task->crashes.unconfirmed_starts},
@@ -241,6 +245,7 @@
     task->suspect_since = deps_.clock->Now();
     task->unconfirmed_until = TimePoint{};
     task->avoid_worker = worker->capacity.id;
+    PauseLasting(step, id, task);
     if (MustGiveUp(step, *task)) GiveUpTask(job, id);
     if (!IsFinal(job->state)) StoreEvidence(id, task);
   }
@@ -317,19 +322,46 @@
       task->unconfirmed_until = deps_.clock->Now() + kConfirmationWait;
     } else if (row.in_startup) {
       RecordCrash(&task->crashes, run, row.worker, Millis(0),
-                  /*others_in_startup=*/true);
+                  /*others_in_startup=*/true, /*start_confirmed=*/true,
+                  /*crash_seen=*/false);
     } else {
-      RecordPossibleCrash(&task->crashes, run);
+      RecordPossibleCrash(&task->crashes, run, /*crash_seen=*/false);
     }
   }
 }
 
+bool PartitionOwner::IsOnNoInstance(const WorkerState& worker) const {
+  return instances_known_ && instances_asked_at_ > worker.unlisted_at &&
+         std::none_of(instances_.begin(), instances_.end(),
+                      [&worker](const auto& instance) {
+                        return instance.second.worker == worker.capacity.id;
+                      });
+}
+
 bool PartitionOwner::MustGiveUp(const StepSpec& step, const TaskRecord& task) {
-  const CrashVerdict verdict =
-      step.lasting ? JudgeCrashesOfLasting(task.crashes,
-                                           step.max_unavailable.has_value())
-                   : JudgeCrashes(task.crashes);
-  return verdict == CrashVerdict::kCrashesWorkers;
+  if (step.lasting) {
+    return !RestartPauseOfLasting(task.crashes,
+                                  step.max_unavailable.has_value());
+  }
+  return JudgeCrashes(task.crashes) == CrashVerdict::kCrashesWorkers;
+}
+
+void PartitionOwner::PauseLasting(const StepSpec& step, const TaskId& id,
+                                  TaskRecord* task) {
+  if (!step.lasting) return;
+  const std::optional<Millis> pause =
+      RestartPauseOfLasting(task->crashes, step.max_unavailable.has_value());
+  if (!pause || *pause == Millis(0)) return;
+  // An earlier owner may have seen the crash. The wall clocks of two nodes may
+  // differ, so no more than the whole pause is left.
+  const Millis since(WallMicros() / 1000 - task->crashes.last_unix_ms);
+  const Millis left = std::clamp(*pause - since, Millis(0), *pause);
+  task->not_before = std::max(task->not_before, deps_.clock->Now() + left);
+  LogEvent(LogLevel::kInfo, "restart-paused",
+           {{"task", FormatTaskId(id)},
+            {"crashes", task->crashes.runs.size()},
+            {"seen", task->crashes.seen},
+            {"left_ms", left.count()}});
 }
 
 void PartitionOwner::GiveUpTask(JobRecord* job, const TaskId& id) {
@@ -355,8 +387,9 @@
 }
 
 void PartitionOwner::IsolateInherited(JobRecord* job) {
-  ForEachTask(job, [this](const TaskId&, TaskRecord* task) {
+  ForEachTask(job, [this, job](const TaskId& id, TaskRecord* task) {
     if (!IsSuspect(*task)) return;
+    PauseLasting(job->spec.steps[static_cast<std::size_t>(id.step)], id, task);
     task->suspect_since = deps_.clock->Now();
     if (!task->crashes.startup_workers.empty()) {
       task->avoid_worker = task->crashes.startup_workers.back();
--- a/lib/Partition/OwnerReconciliation.cc
+++ b/lib/Partition/OwnerReconciliation.cc
@@ -59,7 +59,9 @@
       gave_up_reading_ = true;
       ScheduleDispatch();
     }
-    if (!worker->link->Synced()) ConfirmCrash(worker.get());
+    if (!worker->link->Synced()) {
+      ConfirmCrash(worker.get(), IsOnNoInstance(*worker));
+    }
     DropIfSafeToForget(id);
   }
 }
--- a/lib/Partition/OwnerWaits.cc
+++ b/lib/Partition/OwnerWaits.cc
@@ -141,6 +141,7 @@
   facts->start_sent = task.state == TaskState::kStarting && !task.start_held;
   facts->given_up = IsSuspect(task) && MustGiveUp(step, task);
   facts->in_retry_delay = now < task.not_before;
+  facts->suspected = IsSuspect(task);
   facts->end_unreported = task.ended_unreported;
   facts->loss_unconfirmed = IsSuspect(task) && now < task.unconfirmed_until;
   // The last of the conditions of TaskMayStart().
--- a/lib/Partition/TaskWaits.cc
+++ b/lib/Partition/TaskWaits.cc
@@ -15,7 +15,10 @@
 }
 
 std::optional<WaitCondition> ConditionOfTask(const WaitFacts& facts) {
-  if (facts.in_retry_delay) return WaitCondition::kRetryDelay;
+  if (facts.in_retry_delay) {
+    return facts.suspected ? WaitCondition::kPausedAfterCrashes
+                           : WaitCondition::kRetryDelay;
+  }
   if (facts.end_unreported && !facts.term_confirmed) {
     return WaitCondition::kEndUnreported;
   }
--- a/unittests/Jobs/CrashEvidenceTest.cc
+++ b/unittests/Jobs/CrashEvidenceTest.cc
@@ -118,6 +118,47 @@
             CrashVerdict::kSuspect);
 }
 
+TEST(CrashEvidenceTest, WorkersThatWereOnlyCutOffDoNotGiveALastingTaskUp) {
+  CrashEvidence evidence;
+  for (std::int64_t run = 1; run <= 9; ++run) {
+    RecordCrash(&evidence, run, "w" + std::to_string(run), Millis(0),
+                /*others_in_startup=*/false, /*start_confirmed=*/true,
+                /*crash_seen=*/false);
+    EXPECT_EQ(JudgeCrashesOfLasting(evidence, /*must_stay_available=*/false),
+              CrashVerdict::kSuspect);
+    const std::optional<Millis> pause =
+        RestartPauseOfLasting(evidence, /*must_stay_available=*/false);
+    ASSERT_TRUE(pause.has_value());
+    // Of the 9 s in which it must run again, its confirmation takes up to 5 s.
+    EXPECT_LE(*pause, Millis(4000));
+  }
+}
+
+TEST(CrashEvidenceTest, TwoCrashesAtTheStartDoNotGiveALastingTaskUp) {
+  CrashEvidence evidence;
+  RecordCrash(&evidence, 1, "w1", Millis(0), /*others_in_startup=*/false);
+  RecordCrash(&evidence, 2, "w2", Millis(0), /*others_in_startup=*/false);
+  EXPECT_EQ(RestartPauseOfLasting(evidence, /*must_stay_available=*/false),
+            Millis(1000));
+}
+
+TEST(CrashEvidenceTest, ALastingTaskStartsTwiceAfterThreeCrashes) {
+  CrashEvidence evidence;
+  const auto pause = [&evidence](int run) {
+    RecordCrash(&evidence, run, "w" + std::to_string(run), Millis(0),
+                /*others_in_startup=*/false);
+    return RestartPauseOfLasting(evidence, /*must_stay_available=*/false);
+  };
+  pause(1);
+  pause(2);
+  const std::optional<Millis> before_first = pause(3);
+  const std::optional<Millis> before_last = pause(4);
+  ASSERT_TRUE(before_first && before_last);
+  EXPECT_GT(*before_first, Millis(60000));
+  EXPECT_GT(*before_last, *before_first);
+  EXPECT_FALSE(pause(5).has_value());
+}
+
 TEST(CrashEvidenceTest, ARunThatWorkedForLongIsNoSuspect) {
   CrashEvidence evidence;
   RecordCrash(&evidence, 1, "w1", Millis(0), /*others_in_startup=*/false);
--- a/unittests/Partition/TaskWaitsTest.cc
+++ b/unittests/Partition/TaskWaitsTest.cc
@@ -80,6 +80,10 @@
   sim.fleet.crashing_tasks = {kTask};
   sim.Submit(LastingJob(2));
   sim.Run(Millis(60000));
+  EXPECT_TRUE(log.Lines("task-given-up").empty());
+  EXPECT_EQ(Values("task-waits", "condition").back(), "paused-after-crashes");
+  // Two more starts, after 2 and 8 minutes.
+  sim.Run(Millis(660000));
   ASSERT_EQ(log.Lines("task-given-up").size(), 1);
   const std::vector<Json> waits = log.Lines("task-waits");
   ASSERT_FALSE(waits.empty());
