An owner that stops tells its peers how its term ended

Cause: only the former owner's process could tell that its term was over. When the store was back it was gone, and the successor awaited 8 s of grace and the longest lease (18.2 s), counted from its own term, though all leases had ended before. After two stops in a row an owner did not pass on what it had been told.

Why it works: once the owner is closed it gives no lease, so its leases are bounded from that moment. The node sends this moment, its long leases and what is left of its own bound on owners before it (zero if it had read all workers) to all peers, and a stopping process stays for up to 1 s until they have answered. A successor uses only the end of the term just before its own, heard before or after its election, from the former owner or asked of any peer. Durations are converted with 2% for the other clock. A killed process tells nothing: its full bound holds.

--- a/include/basilusher/Node/NodeAgent.h
+++ b/include/basilusher/Node/NodeAgent.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <utility>
 
+#include "basilusher/Node/EndedTermNotifier.h"
 #include "basilusher/Node/Peers.h"
 #include "basilusher/Partition/PartitionOwner.h"
 #include "basilusher/Store/StoreWatcher.h"
@@ -47,8 +48,8 @@
 
   void Begin();
   /// Gives up the term, if held, once its records are stored; then ends the
-  /// lease and runs `done`, also if the store does not answer. The lease is
-  /// tried until it has ended.
+  /// lease, tells the peers how the term ended and runs `done`, also if the
+  /// store or a peer does not answer. The lease is tried until it has ended.
   void Stop(std::function<void()> done);
   /// Takes effect with the next term that this node holds.
   void SetBounds(Millis task_lease, Millis max_task_lease,
@@ -58,9 +59,13 @@
   /// term below `term` begins here from then on.
   bool EndTermBelow(std::int64_t term);
   /// Answers a later owner's request to end the terms before its own: whether
-  /// they have ended and, if this process held the last of them, which leases
-  /// it may have given that are longer than usual.
+  /// they have ended and, if that is known here, how the last of them ended.
   Json AnswerEndTerm(const Json& request);
+  /// Takes note of a peer's message that its term has ended. Returns nothing if
+  /// the message is malformed.
+  std::optional<Json> HearEndedTerm(const Json& message);
+  /// Answers which end of the term `term` of the request is known here, if any.
+  Json AnswerFindEndedTerm(const Json& request) const;
 
   /// The owner while this node holds the term and has loaded its records.
   PartitionOwner* LocalOwner();
@@ -97,10 +102,18 @@
   void HandOver();
   /// Removes the owner record of an ended term until that is known to be done.
   void RemoveOwnerRecord(std::int64_t revision);
+  // NodeAgentTerms.cc.
+  /// Learns how the term before the present one ended: from what this node has
+  /// heard, from its owner, or from the other peers.
+  void LearnPreviousEnd(const OwnerView& earlier);
   void AskEarlierOwner(const OwnerView& earlier);
-  /// What is left of the long leases that this process gave in `term`; nothing
-  /// if it did not hold that term last.
-  std::optional<LongLeases> LongLeasesOf(std::int64_t term) const;
+  /// Asks all peers until the end of the term before is known, or the leases
+  /// from then are over.
+  void AskPeersForPreviousEnd();
+  /// How `term` ended, as seen now; nothing if that is not known here.
+  std::optional<EndedTerm> EndOf(std::int64_t term) const;
+  /// Keeps the end of the latest ended term, and tells the owner.
+  void NoteEndedTerm(const EndedTerm& ended);
   // NodeAgentLogs.cc.
   void LogElected(const OwnerView& earlier) const;
   void LogTermEnded(const char* reason) const;
@@ -110,11 +123,13 @@
                        const std::optional<LongLeases>& long_leases);
   void FinishStop();
   void EndLease(std::int64_t lease);
+  void ReportStopped();
 
   OwnerDependencies ports_;
   PeerCaller* peer_client_;
   NodeOptions options_;
   CatalogSource catalog_;
+  std::shared_ptr<EndedTermNotifier> ended_term_notifier_;
   std::shared_ptr<StoreWatcher> watcher_;
   std::shared_ptr<PartitionOwner> owner_;
   OwnerView owner_view_;
@@ -126,11 +141,12 @@
   std::int64_t term_ = 0;
   /// The last term that this process does not hold any more, or never will.
   std::int64_t last_ended_term_ = 0;
-  /// The last term that this process began and ended, when it ended, and the
-  /// long leases at that time.
+  /// The last term that this process began and ended.
   std::int64_t held_term_ = 0;
-  TimePoint held_term_ended_at_{};
-  LongLeases long_leases_;
+  /// The latest term of which this process knows how it ended, here or
+  /// elsewhere, as it was at the time beside it.
+  std::optional<EndedTerm> last_end_;
+  TimePoint last_end_at_{};
   /// The last answer of an earlier owner that was logged, and in which term.
   std::pair<std::int64_t, std::string> logged_answer_;
   std::int64_t term_key_revision_ = 0;
@@ -142,6 +158,7 @@
   bool standing_ = false;
   bool election_planned_ = false;
   bool stopping_ = false;
+  bool lease_end_answered_ = false;
   std::function<void()> on_stopped_;
   TimePoint stop_began_{};
 };
--- a/include/basilusher/Node/Peers.h
+++ b/include/basilusher/Node/Peers.h
@@ -29,6 +29,8 @@
   static constexpr const char* kStatus = "/v1/node/status";
   static constexpr const char* kCatalog = "/v1/node/catalog";
   static constexpr const char* kEndTerm = "/v1/node/end-term";
+  static constexpr const char* kTermEnded = "/v1/node/term-ended";
+  static constexpr const char* kFindEndedTerm = "/v1/node/find-ended-term";
 };
 
 using PeerCallback = std::function<void(std::optional<Json>)>;
--- a/include/basilusher/Partition/EarlierLeases.h
+++ b/include/basilusher/Partition/EarlierLeases.h
@@ -6,13 +6,11 @@
 #include <optional>
 #include <string>
 
+#include "basilusher/Partition/EndedTerm.h"
 #include "basilusher/Support/Clock.h"
 
 namespace basilusher {
 
-/// Upper bounds of what is left of the leases on workers, by worker id.
-using LongLeases = std::map<std::string, Millis>;
-
 /// Until when runs may last that earlier owners started or renewed on workers
 /// that this owner has not read. Neither a worker's silence nor the absence of
 /// its directory entry ends such a run; only its lease does. Not thread-safe.
@@ -35,23 +33,33 @@
   /// the previous one may still give leases until NoteOnlyPreviousGaveLeases().
   void NotePreviousStopped(TimePoint now,
                            const std::optional<LongLeases>& long_leases);
+  /// The previous owner's term is over, and its owner has told how. This also
+  /// bounds the leases of the owners before it.
+  void NotePreviousEnded(TimePoint now, const EndedTerm& ended);
   /// No owner before the previous one can give leases on unread workers.
   void NoteOnlyPreviousGaveLeases();
 
   /// Latest end of an earlier owner's lease on the worker.
   TimePoint EndOn(const std::string& worker) const;
+  /// Latest end of an earlier owner's lease on any worker.
+  TimePoint LatestEnd() const;
   /// Latest ends of the leases that are known to be longer than usual.
   const std::map<std::string, TimePoint>& LongLeaseEnds() const {
     return long_lease_ends_;
   }
 
  private:
+  /// The previous owner has given no lease since `ended_at`.
+  void NoteLeasesOfPrevious(TimePoint now, TimePoint ended_at,
+                            const std::optional<LongLeases>& long_leases);
   void Shorten();
 
   Limits limits_;
   /// Latest end of a lease on a worker without an entry in `long_lease_ends_`.
   TimePoint end_;
   std::optional<TimePoint> end_if_only_previous_;
+  /// Latest end of a lease of an owner before the previous one, if told.
+  std::optional<TimePoint> end_before_previous_;
   bool only_previous_ = false;
   std::map<std::string, TimePoint> long_lease_ends_;
 };
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -70,6 +70,13 @@
   /// The earlier owner has confirmed that its term is over. `long_leases` is
   /// its LongLeases() at that time, or nothing if that is not known.
   void NoteEarlierOwnerStopped(const std::optional<LongLeases>& long_leases);
+  /// The same, if the earlier owner has told how its term ended. Ignores other
+  /// terms than the one before this.
+  void NotePreviousTermEnded(const EndedTerm& ended);
+  /// What a later owner has to know of this term. Precondition: closed.
+  EndedTerm DescribeEnd() const;
+  /// True while earlier owners' leases may last on workers that are not read.
+  bool AwaitsEarlierLeases() const;
   /// Workers on which runs may hold leases that end later than if they were
   /// renewed now.
   LongLeases FindLongLeases() const;
@@ -147,6 +154,8 @@
   bool IsSafeToForget(const WorkerState& worker) const;
   /// Forgets a worker that has no directory entry, once that is safe.
   void DropIfSafeToForget(const std::string& id);
+  /// Notes the leases that the previous owner told of at the workers' links.
+  void InheritLongLeases(const std::optional<LongLeases>& long_leases);
   /// True if runs that an earlier owner started on an unread worker may still
   /// hold a lease, and be it from a later owner.
   bool MayHoldEarlierLease(const std::string& id) const;
@@ -475,6 +484,8 @@
   EarlierLeases earlier_leases_;
   /// The previous owner has stopped, and told of its long leases (true) or not.
   std::optional<bool> previous_told_leases_;
+  /// What it told of its term's end.
+  std::optional<EndedTerm> previous_end_;
   /// Since when tasks have waited for unread workers, and until when at most,
   /// as logged; zero if none waits.
   TimePoint take_over_wait_since_{};
--- a/include/basilusher/Partition/WorkerLink.h
+++ b/include/basilusher/Partition/WorkerLink.h
@@ -18,6 +18,10 @@
 
 namespace basilusher {
 
+/// Another process's clock may run this much slower or faster, so leases on a
+/// worker last that much longer.
+inline constexpr std::int64_t kClockDriftPerMille = 20;
+
 /// Why all runs of a worker have ended without being reported.
 enum class WorkerLoss : std::uint8_t {
   /// The leases have expired; the worker may live and be cut off.
--- a/lib/Node/NodeAgent.cc
+++ b/lib/Node/NodeAgent.cc
@@ -28,29 +28,6 @@
 /// At most this long for records to be stored at a planned stop.
 constexpr Millis kStopFlushLimit{1500};
 constexpr Millis kStopPoll{20};
-constexpr Millis kEndTermTimeout{400};
-/// Longest lease of a worker that a peer may report.
-constexpr std::int64_t kMaxLeaseLeftMs = 600000;
-
-Json EncodeLongLeases(const LongLeases& leases) {
-  Json out = Json::object();
-  for (const auto& [worker, left] : leases) out[worker] = left.count();
-  return out;
-}
-
-std::optional<LongLeases> DecodeLongLeases(const Json& answer) {
-  const auto field = answer.find("long_leases");
-  if (field == answer.end() || !field->is_object()) return std::nullopt;
-  LongLeases leases;
-  for (const auto& [worker, left] : field->items()) {
-    const std::optional<std::int64_t> left_ms = IntegerOf(left);
-    if (!left_ms || *left_ms < 0 || *left_ms > kMaxLeaseLeftMs) {
-      return std::nullopt;
-    }
-    leases[worker] = Millis(*left_ms);
-  }
-  return leases;
-}
 
 }  // namespace
 
@@ -59,7 +36,9 @@
     : ports_(ports),
       peer_client_(peers),
       options_(std::move(options)),
-      catalog_(std::move(catalog)) {
+      catalog_(std::move(catalog)),
+      ended_term_notifier_(std::make_shared<EndedTermNotifier>(
+          ports_.timers, ports_.clock, peer_client_, options_.node)) {
   watcher_ = std::make_shared<StoreWatcher>(
       ports_.store, ports_.timers, ports_.clock,
       StoreWatcherOptions{.prefix = options_.owner.keys.control_prefix,
@@ -274,64 +253,7 @@
   LogElected(earlier);
   owner_->Begin(catalog_());
   for (const auto& [number, wave] : waves_) owner_->SetWave(wave);
-  AskEarlierOwner(earlier);
-}
-
-void NodeAgent::AskEarlierOwner(const OwnerView& earlier) {
-  if (earlier.address.empty()) return;
-  // A term between the two was not heard of: its owner may still go on.
-  if (earlier.term + 1 != owner_->Term()) {
-    LogEarlierOwner(earlier, "not asked: another term was between",
-                    std::nullopt);
-    return;
-  }
-  if (earlier.node == options_.node) {
-    const std::optional<LongLeases> leases = LongLeasesOf(earlier.term);
-    LogEarlierOwner(earlier, "own term", leases);
-    owner_->NoteEarlierOwnerStopped(leases);
-    return;
-  }
-  const std::shared_ptr<PartitionOwner> owner = owner_;
-  peer_client_->Call(
-      earlier.address, PeerPaths::kEndTerm, {{"below", owner->Term()}},
-      kEndTermTimeout,
-      [self = shared_from_this(), owner, earlier](std::optional<Json> answer) {
-        if (self->owner_ != owner) return;
-        if (answer && FieldOr(*answer, "ended", false)) {
-          const std::optional<LongLeases> leases = DecodeLongLeases(*answer);
-          self->LogEarlierOwner(earlier, "ended", leases);
-          owner->NoteEarlierOwnerStopped(leases);
-          return;
-        }
-        self->LogEarlierOwner(earlier, answer ? "not ended" : "none",
-                              std::nullopt);
-        self->ports_.timers->After(kRenewPeriod, [self, owner, earlier] {
-          if (self->owner_ == owner) self->AskEarlierOwner(earlier);
-        });
-      });
-}
-
-std::optional<LongLeases> NodeAgent::LongLeasesOf(std::int64_t term) const {
-  if (term != held_term_) return std::nullopt;
-  const Millis passed = ports_.clock->Now() - held_term_ended_at_;
-  LongLeases leases;
-  for (const auto& [worker, left] : long_leases_) {
-    if (left > passed) leases[worker] = left - passed;
-  }
-  return leases;
-}
-
-Json NodeAgent::AnswerEndTerm(const Json& request) {
-  const std::int64_t below = request.at("below").get<std::int64_t>();
-  Json answer = {{"ended", EndTermBelow(below)}};
-  const std::optional<LongLeases> leases = LongLeasesOf(below - 1);
-  LogEvent(LogLevel::kInfo, "end-term-answered",
-           {{"below", below},
-            {"ended", answer["ended"]},
-            {"held_term", held_term_},
-            {"long_leases", leases ? Json(leases->size()) : Json()}});
-  if (leases) answer["long_leases"] = EncodeLongLeases(*leases);
-  return answer;
+  LearnPreviousEnd(earlier);
 }
 
 void NodeAgent::SetBounds(Millis task_lease, Millis max_task_lease,
@@ -344,25 +266,16 @@
   options_.owner.max_view_age = max_view_age;
 }
 
-bool NodeAgent::EndTermBelow(std::int64_t term) {
-  // The asker relies on it: an election whose answer is still on its way is
-  // over too.
-  last_ended_term_ = std::max(last_ended_term_, term - 1);
-  if (owner_ != nullptr && owner_->Term() < term) {
-    Depose("a later owner asked");
-  }
-  return owner_ == nullptr || owner_->Term() >= term;
-}
-
 void NodeAgent::Depose(const char* reason) {
   if (owner_ == nullptr) return;
   LogTermEnded(reason);
   last_ended_term_ = std::max(last_ended_term_, owner_->Term());
   held_term_ = owner_->Term();
-  held_term_ended_at_ = ports_.clock->Now();
-  long_leases_ = owner_->FindLongLeases();
   owner_->Close();
+  const EndedTerm ended = owner_->DescribeEnd();
   owner_.reset();
+  NoteEndedTerm(ended);
+  ended_term_notifier_->Send(ended, peers_);
   if (owner_view_.incarnation == options_.incarnation) {
     earlier_owner_ = owner_view_;
     owner_view_ = {};
@@ -450,7 +363,7 @@
     return;
   }
   Depose("the node stops");
-  if (lease_ == 0) return on_stopped_();
+  if (lease_ == 0) return ReportStopped();
   const std::int64_t lease = lease_;
   lease_ = 0;
   EndLease(lease);
@@ -468,7 +381,7 @@
       self->ports_.timers->After(kRenewRetry,
                                  [self, lease] { self->EndLease(lease); });
     }
-    if (self->on_stopped_ == nullptr) {
+    if (self->lease_end_answered_) {
       if (ended) {
         LogEvent(LogLevel::kInfo, "lease-ended",
                  {{"after_ms",
@@ -476,12 +389,23 @@
       }
       return;
     }
+    self->lease_end_answered_ = true;
     if (!ended) {
       LogEvent(LogLevel::kWarning, "lease-not-ended",
                {{"status", NameOf(kTxnStatusNames, answer.status)}});
     }
-    std::exchange(self->on_stopped_, nullptr)();
+    self->ReportStopped();
   });
 }
 
+void NodeAgent::ReportStopped() {
+  // With the process ends what only it can tell of its term.
+  if (!ended_term_notifier_->Idle()) {
+    ports_.timers->After(
+        kStopPoll, [self = shared_from_this()] { self->ReportStopped(); });
+    return;
+  }
+  std::exchange(on_stopped_, nullptr)();
+}
+
 }  // namespace basilusher
--- a/lib/Partition/EarlierLeases.cc
+++ b/lib/Partition/EarlierLeases.cc
@@ -11,11 +11,27 @@
 
 void EarlierLeases::NotePreviousStopped(
     TimePoint now, const std::optional<LongLeases>& long_leases) {
-  end_if_only_previous_ = now + (long_leases ? limits_.usual : limits_.longest);
+  NoteLeasesOfPrevious(now, now, long_leases);
+  Shorten();
+}
+
+void EarlierLeases::NotePreviousEnded(TimePoint now, const EndedTerm& ended) {
+  NoteLeasesOfPrevious(now, now - ended.ended_ago, ended.long_leases);
+  const TimePoint end = now + ended.earlier_left;
+  end_before_previous_ = std::min(end_before_previous_.value_or(end), end);
+  Shorten();
+}
+
+void EarlierLeases::NoteLeasesOfPrevious(
+    TimePoint now, TimePoint ended_at,
+    const std::optional<LongLeases>& long_leases) {
+  const TimePoint end =
+      ended_at + (long_leases ? limits_.usual : limits_.longest);
+  end_if_only_previous_ = std::min(end_if_only_previous_.value_or(end), end);
   for (const auto& [worker, left] : long_leases.value_or(LongLeases())) {
-    long_lease_ends_[worker] = now + left;
+    const auto [it, added] = long_lease_ends_.try_emplace(worker, now + left);
+    if (!added) it->second = std::min(it->second, now + left);
   }
-  Shorten();
 }
 
 void EarlierLeases::NoteOnlyPreviousGaveLeases() {
@@ -24,9 +40,20 @@
 }
 
 void EarlierLeases::Shorten() {
-  if (only_previous_ && end_if_only_previous_) {
-    end_ = std::min(end_, *end_if_only_previous_);
+  if (!end_if_only_previous_) return;
+  if (only_previous_) end_ = std::min(end_, *end_if_only_previous_);
+  if (end_before_previous_) {
+    end_ =
+        std::min(end_, std::max(*end_if_only_previous_, *end_before_previous_));
+  }
+}
+
+TimePoint EarlierLeases::LatestEnd() const {
+  TimePoint latest = end_;
+  for (const auto& [worker, end] : long_lease_ends_) {
+    latest = std::max(latest, end);
   }
+  return latest;
 }
 
 TimePoint EarlierLeases::EndOn(const std::string& worker) const {
--- a/lib/Partition/OwnerLogs.cc
+++ b/lib/Partition/OwnerLogs.cc
@@ -81,6 +81,10 @@
          {"leases_end_in_ms", MillisUntil(until, now)},
          {"previous_stopped", previous_told_leases_.has_value()},
          {"previous_told_leases", previous_told_leases_.value_or(false)},
+         {"previous_ended_ago_ms",
+          previous_end_ ? Json(previous_end_->ended_ago.count()) : Json()},
+         {"earlier_left_ms",
+          previous_end_ ? Json(previous_end_->earlier_left.count()) : Json()},
          {"fully_read_term", fully_read_term_},
          {"confirmed_for_ms", (listener_.confirmed_until() - now).count()}});
   }
--- a/lib/Partition/OwnerReconciliation.cc
+++ b/lib/Partition/OwnerReconciliation.cc
@@ -2,6 +2,7 @@
 // unread workers, those of jobs that it has not learnt of, and those of earlier
 // incarnations of a worker.
 #include <algorithm>
+#include <cassert>
 
 #include "basilusher/Partition/PartitionOwner.h"
 #include "basilusher/Support/Log.h"
@@ -73,9 +74,22 @@
 
 void PartitionOwner::NoteEarlierOwnerStopped(
     const std::optional<LongLeases>& long_leases) {
+  earlier_leases_.NotePreviousStopped(deps_.clock->Now(), long_leases);
+  InheritLongLeases(long_leases);
+}
+
+void PartitionOwner::NotePreviousTermEnded(const EndedTerm& ended) {
+  if (closed_ || ended.term + 1 != options_.term) return;
+  previous_end_ = ended;
+  earlier_leases_.NotePreviousEnded(deps_.clock->Now(), ended);
+  InheritLongLeases(ended.long_leases);
+}
+
+void PartitionOwner::InheritLongLeases(
+    const std::optional<LongLeases>& long_leases) {
   const TimePoint now = deps_.clock->Now();
-  previous_told_leases_ = long_leases.has_value();
-  earlier_leases_.NotePreviousStopped(now, long_leases);
+  previous_told_leases_ =
+      previous_told_leases_.value_or(false) || long_leases.has_value();
   for (const auto& [id, left] : long_leases.value_or(LongLeases())) {
     LogEvent(LogLevel::kInfo, "long-lease-inherited",
              {{"worker", id}, {"left_ms", left.count()}});
@@ -85,6 +99,22 @@
   if (loaded_) ShortenOrphanedRunsWait();
 }
 
+EndedTerm PartitionOwner::DescribeEnd() const {
+  assert(closed_ && "an owner that may still give leases has not ended");
+  EndedTerm ended{.term = options_.term, .long_leases = FindLongLeases()};
+  const bool read_all = loaded_ && fully_read_term_ == options_.term;
+  if (!read_all) {
+    ended.earlier_left =
+        std::max(Millis(0), earlier_leases_.LatestEnd() - deps_.clock->Now());
+  }
+  return ended;
+}
+
+bool PartitionOwner::AwaitsEarlierLeases() const {
+  return (!loaded_ || !unread_workers_.empty()) &&
+         deps_.clock->Now() < earlier_leases_.LatestEnd();
+}
+
 LongLeases PartitionOwner::FindLongLeases() const {
   LongLeases leases;
   const TimePoint now = deps_.clock->Now();
--- a/lib/Partition/WorkerLink.cc
+++ b/lib/Partition/WorkerLink.cc
@@ -6,8 +6,6 @@
 namespace basilusher {
 namespace {
 
-/// A worker's clock may run this slow, so leases on it last that much longer.
-constexpr std::int64_t kClockDriftPerMille = 20;
 /// Allowance for rounding and scheduling delays on both sides.
 constexpr Millis kLeaseMargin{50};
 /// Allowance for starts that are on their way when a new incarnation is
--- a/unittests/Node/SimNode.cc
+++ b/unittests/Node/SimNode.cc
@@ -116,6 +116,15 @@
   methods.On(PeerPaths::kEndTerm, [this](const Json& body, PeerCallback done) {
     done(agent->AnswerEndTerm(body));
   });
+
+  methods.On(PeerPaths::kTermEnded,
+             [this](const Json& body, PeerCallback done) {
+               done(agent->HearEndedTerm(body));
+             });
+  methods.On(PeerPaths::kFindEndedTerm,
+             [this](const Json& body, PeerCallback done) {
+               done(agent->AnswerFindEndedTerm(body));
+             });
   peers->Attach(address, &methods);
   catalogs->Begin();
   agent->Begin();
--- a/unittests/Node/SimNode.h
+++ b/unittests/Node/SimNode.h
@@ -24,6 +24,9 @@
     nodes_[address] = methods;
   }
 
+  /// The process of the node at this address has ended.
+  void Detach(const std::string& address) { nodes_.erase(address); }
+
   /// Calls so far, by path.
   std::map<std::string, int> calls;
   /// How many of the next calls are lost, by path.
