Lasting tasks: store the worker before a start, and await only these workers

Cause: nothing told on which workers a task's runs may be, so the successor waited for all workers until the earlier leases were over by their bound.

The job's stored progress now names the workers that may hold a run of each lasting task ("w": term and rows). The start is sent once that is stored, through the existing mechanism of held starts, and never unstored. An inherited lasting task waits for the unread ones of these workers. Any run that can be alive was sent by an owner whose write was conditional on its term, so it precedes the successor's list. A record counts only if all terms since have stored their starts: the term record says since when ("starts_stored_since"; earlier versions write it without). Otherwise the former rule holds until all workers are read, and then the record is completed. Other tasks keep the former rule.

--- a/include/basilusher/Jobs/JobTable.h
+++ b/include/basilusher/Jobs/JobTable.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -66,6 +67,9 @@
   std::int64_t run = 0;
   /// Worker of the current run; empty while waiting or done.
   std::string worker;
+  /// Workers that may hold a run of a lasting task, whoever started it. May
+  /// name workers on which its runs have ended.
+  std::set<std::string> run_workers;
   /// Worker to avoid at the next placement: the last run failed there, was
   /// given up there, or the worker refused it.
   std::string avoid_worker;
@@ -120,6 +124,10 @@
   TimePoint accepted_at{};
   /// An earlier owner may have started some of the job's tasks.
   bool inherited = false;
+  /// Last term known to have stored every start of the job's lasting tasks, by
+  /// any owner until then, in their `run_workers` before it was sent. Zero if
+  /// starts may be missing there.
+  std::int64_t placements_term = 0;
   /// Revision of the stored progress; zero if none is stored.
   std::int64_t progress_revision = 0;
   /// A cancellation request for the job is known.
@@ -162,6 +170,8 @@
 bool OpenDueOccurrences(JobRecord* job, std::int64_t unix_ms, std::size_t most);
 /// The same with MaxOpenOccurrences().
 bool OpenDueOccurrences(JobRecord* job, std::int64_t unix_ms);
+/// True if the job has a step whose tasks last.
+bool HasLastingStep(const JobSpec& spec);
 /// True if all steps on which `step` depends are done.
 bool StepReady(const JobRecord& job, const OccurrenceRecord& occurrence,
                int step);
--- a/include/basilusher/Node/NodeAgent.h
+++ b/include/basilusher/Node/NodeAgent.h
@@ -134,6 +134,10 @@
   /// The last answer of an earlier owner that was logged, and in which term.
   std::pair<std::int64_t, std::string> logged_answer_;
   std::int64_t term_key_revision_ = 0;
+  /// OwnerOptions::starts_stored_since by the term record; zero if it has none.
+  std::int64_t starts_stored_since_ = 0;
+  /// The last term for which this node stood, and the value that it wrote.
+  std::pair<std::int64_t, std::int64_t> stood_for_;
   std::int64_t lease_ = 0;
   std::int64_t grant_round_ = 0;
   /// This node does not stand for election before, as long as another can.
--- a/include/basilusher/Partition/OwnerOptions.h
+++ b/include/basilusher/Partition/OwnerOptions.h
@@ -76,6 +76,9 @@
 struct OwnerOptions {
   std::string node;
   std::int64_t term = 0;
+  /// First of the terms in a row, up to this one, whose owners store each start
+  /// of a lasting task before they send it. Zero if not known.
+  std::int64_t starts_stored_since = 0;
   /// Revision of the owner record. It changes when the term ends, so every
   /// write is conditional on it.
   std::int64_t term_revision = 0;
--- a/include/basilusher/Partition/OwnerState.h
+++ b/include/basilusher/Partition/OwnerState.h
@@ -180,6 +180,8 @@
   };
   std::vector<Member> members;
   std::int64_t run = 0;
+  /// Its tasks last, so it is not sent before it is stored.
+  bool lasting = false;
   TimePoint since{};
   bool stored = false;
 };
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -262,6 +262,20 @@
   /// the store answers.
   void DropHeldStart(const HeldStart& held, bool wait_for_store);
 
+  // OwnerPlacements.cc: workers that may hold runs of lasting tasks.
+  /// Takes over what earlier owners have stored, if it is complete.
+  void InheritPlacements(JobRecord* job, bool has_progress);
+  /// Once no run of an earlier owner can be unknown, what this owner knows is
+  /// complete.
+  void CompletePlacements();
+  /// A start of the task on the worker is about to be stored.
+  void NotePlacement(const TaskId& id, const std::string& worker);
+  /// The worker reports a run of the task.
+  void NoteReportedRun(const TaskId& id, const std::string& worker);
+  /// True if the worker may still have a run of the task that this owner gave
+  /// up, or does not know.
+  bool MayHoldFormerRun(const std::string& worker, const TaskId& id) const;
+
   // OwnerReconciliation.cc: ends and runs of jobs that are not known yet.
   /// True if the job is unknown but may have been stored since the inbox was
   /// last read.
@@ -330,6 +344,13 @@
   /// True if runs of the job that an earlier owner started may still be
   /// running, or may have ended, without this owner's knowledge.
   bool MayHaveOrphanedRuns(const JobRecord& job) const;
+  /// The same for one task. Precondition: MayHaveOrphanedRuns(job).
+  bool AwaitsOrphanedRun(const JobRecord& job, const StepSpec& step,
+                         const TaskRecord& task) const;
+  /// The same for any task that waits.
+  bool AnyAwaitsOrphanedRun(const JobRecord& job) const;
+  /// True if the worker is unread and may run tasks of an earlier owner.
+  bool MayRunUnreported(const std::string& worker) const;
   bool NeedsAdvice(const JobRecord& job) const;
   void OnStartResult(const TaskId& id, std::int64_t run,
                      const std::string& worker, CommandResult result);
@@ -523,6 +544,7 @@
   bool loaded_ = false;
   bool dispatch_scheduled_ = false;
   bool kept_finished_jobs_ = false;
+  bool placements_completed_ = false;
   std::int64_t workers_revision_ = 0;
   /// Lower bound for the fencing tokens of new links: above those of all closed
   /// links.
--- a/lib/Jobs/JobCodec.cc
+++ b/lib/Jobs/JobCodec.cc
@@ -158,6 +158,30 @@
   }
 }
 
+Json EncodeRunWorkers(const JobRecord& job) {
+  Json rows = Json::array();
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      const std::vector<TaskRecord>& tasks = occurrence.steps[s].tasks;
+      for (std::size_t i = 0; i < tasks.size(); ++i) {
+        if (tasks[i].run_workers.empty()) continue;
+        rows.push_back({number, s, i, tasks[i].run_workers});
+      }
+    }
+  }
+  return {job.placements_term, std::move(rows)};
+}
+
+void DecodeRunWorkers(const Json& in, JobRecord* job) {
+  for (const Json& row : in.at(1)) {
+    TaskRecord& task = job->occurrences.at(row.at(0).get<int>())
+                           .steps.at(row.at(1).get<std::size_t>())
+                           .tasks.at(row.at(2).get<std::size_t>());
+    task.run_workers = row.at(3).get<std::set<std::string>>();
+  }
+  job->placements_term = in.at(0).get<std::int64_t>();
+}
+
 }  // namespace
 
 std::string EncodeJobSpec(const JobSpec& spec) {
@@ -200,9 +224,13 @@
   for (const auto& [number, occurrence] : job.occurrences) {
     open.push_back({number, EncodeOccurrence(occurrence)});
   }
-  return ToBytes({{"n", job.next_occurrence},
-                  {"f", job.occurrences_done},
-                  {"o", std::move(open)}});
+  Json out = {{"n", job.next_occurrence},
+              {"f", job.occurrences_done},
+              {"o", std::move(open)}};
+  if (job.placements_term > 0 && HasLastingStep(job.spec)) {
+    out["w"] = EncodeRunWorkers(job);
+  }
+  return ToBytes(out);
 }
 
 void DecodeProgress(const std::string& bytes, JobRecord* job) {
@@ -221,6 +249,8 @@
       DecodeOccurrence(row.at(1), &occurrence);
       job->occurrences.emplace(row.at(0).get<int>(), std::move(occurrence));
     }
+    job->placements_term = 0;
+    if (in.contains("w")) DecodeRunWorkers(in.at("w"), job);
     return 0;
   });
 }
--- a/lib/Jobs/JobTable.cc
+++ b/lib/Jobs/JobTable.cc
@@ -136,6 +136,11 @@
   return OpenDueOccurrences(job, unix_ms, MaxOpenOccurrences(job->spec));
 }
 
+bool HasLastingStep(const JobSpec& spec) {
+  return std::any_of(spec.steps.begin(), spec.steps.end(),
+                     [](const StepSpec& step) { return step.lasting; });
+}
+
 bool StepReady(const JobRecord& job, const OccurrenceRecord& occurrence,
                int step) {
   const StepSpec& spec = job.spec.steps[static_cast<std::size_t>(step)];
--- a/lib/Node/NodeAgent.cc
+++ b/lib/Node/NodeAgent.cc
@@ -23,6 +23,10 @@
 constexpr Millis kControlWait{1000};
 /// The weakest node stands this much later than the strongest.
 constexpr double kWeaknessDelayMs = 60.0;
+/// Field of the term record: OwnerOptions::starts_stored_since. Versions that
+/// send starts of lasting tasks before they are stored write the record without
+/// it.
+constexpr const char* kStartsStoredSinceField = "starts_stored_since";
 /// After handing its term over, a node leaves the next ones to others.
 constexpr Millis kStandAgainAfter{10000};
 /// At most this long for records to be stored at a planned stop.
@@ -144,6 +148,8 @@
       item.removed ? Json() : Json::parse(item.value, nullptr, false);
   if (item.key == keys.term) {
     term_ = FieldOr(document, "term", std::int64_t{0});
+    starts_stored_since_ =
+        FieldOr(document, kStartsStoredSinceField, std::int64_t{0});
     term_key_revision_ = item.revision;
   } else if (item.key == keys.owner) {
     if (!owner_view_.node.empty()) earlier_owner_ = owner_view_;
@@ -210,6 +216,9 @@
   }
   standing_ = true;
   const std::int64_t term = term_ + 1;
+  const std::int64_t since =
+      starts_stored_since_ > 0 ? starts_stored_since_ : term;
+  stood_for_ = {term, since};
   const RecordKeys& keys = options_.owner.keys;
   Txn txn;
   txn.conditions.push_back({keys.owner, owner_view_.revision});
@@ -222,7 +231,9 @@
                                      .dump(),
                         .lease = lease_});
   txn.writes.push_back(
-      {.key = keys.term, .value = Json({{"term", term}}).dump()});
+      {.key = keys.term,
+       .value =
+           Json({{"term", term}, {kStartsStoredSinceField, since}}).dump()});
   ports_.store->Commit(txn, [self = shared_from_this(), term, keys,
                              lease = lease_](const StoreAnswer& answer) {
     self->standing_ = false;
@@ -255,6 +266,9 @@
   OwnerOptions options = options_.owner;
   options.term = term;
   options.term_revision = revision;
+  if (stood_for_.first == term) {
+    options.starts_stored_since = stood_for_.second;
+  }
   options.term_lease = kLeaseTtl;
   owner_ = std::make_shared<PartitionOwner>(
       ports_, options,
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -73,6 +73,7 @@
     }
     ResolveUnknownJobEnds();
     DropGoneWorkers();
+    CompletePlacements();
     ReportTakeOverWait();
     DropKeptJobs();
     FindStragglers();
@@ -244,7 +245,9 @@
     if (may_have_orphans) {
       // The wait of a suspect for a worker of its own begins when it may start.
       for (TaskRecord& task : step.tasks) {
-        if (!task.started_or_adopted) task.suspect_since = deps_.clock->Now();
+        if (AwaitsOrphanedRun(*job, job->spec.steps[s], task)) {
+          task.suspect_since = deps_.clock->Now();
+        }
       }
     }
     if (step.done + step.active >= static_cast<int>(step.tasks.size())) {
@@ -310,7 +313,7 @@
       found_waiting = true;
     }
     if (!TaskMayStart(spec, task) ||
-        (may_have_orphans && !task.started_or_adopted)) {
+        (may_have_orphans && AwaitsOrphanedRun(*job, spec, task))) {
       continue;
     }
     if (!WithinCap(*job, spec.need)) return;
@@ -328,7 +331,7 @@
                        .index = i};
     ++siblings[worker->id];
     WorkerState* chosen = FindWorker(worker->id);
-    if (request.may_crash_worker) {
+    if (request.may_crash_worker || spec.lasting) {
       StartWhenStored(job, {{.task = id, .worker = chosen}}, NextRun(task));
     } else {
       StartTask(job, id, chosen, NextRun(task));
@@ -346,7 +349,7 @@
   for (const TaskRecord& task : record.tasks) {
     // All members of a gang start together or none does.
     if (task.state != TaskState::kWaiting || !TaskMayStart(spec, task)) return;
-    if (may_have_orphans && !task.started_or_adopted) return;
+    if (may_have_orphans && AwaitsOrphanedRun(*job, spec, task)) return;
     run = std::max(run, NextRun(task));
   }
   if (!WithinCap(*job, spec.need * spec.count)) return;
@@ -396,7 +399,8 @@
                   .index = i},
          .worker = FindWorker(chosen[static_cast<std::size_t>(i)])});
   }
-  if (std::any_of(record.tasks.begin(), record.tasks.end(), IsSuspect)) {
+  if (spec.lasting ||
+      std::any_of(record.tasks.begin(), record.tasks.end(), IsSuspect)) {
     StartWhenStored(job, placed, run);
     return;
   }
--- a/lib/Partition/OwnerLogs.cc
+++ b/lib/Partition/OwnerLogs.cc
@@ -68,7 +68,7 @@
   const TimePoint now = deps_.clock->Now();
   const bool waiting = std::any_of(
       jobs_.All().begin(), jobs_.All().end(),
-      [this](const auto& job) { return MayHaveOrphanedRuns(*job.second); });
+      [this](const auto& job) { return AnyAwaitsOrphanedRun(*job.second); });
   TimePoint until{};
   for (const std::string& id : unread_workers_) {
     until = std::max(until, earlier_leases_.EndOn(id));
--- a/lib/Partition/OwnerReconciliation.cc
+++ b/lib/Partition/OwnerReconciliation.cc
@@ -117,14 +117,17 @@
 
 bool PartitionOwner::MayHaveOrphanedRuns(const JobRecord& job) const {
   if (!job.inherited) return false;
+  return std::any_of(
+      unread_workers_.begin(), unread_workers_.end(),
+      [this](const std::string& id) { return MayRunUnreported(id); });
+}
+
+bool PartitionOwner::MayRunUnreported(const std::string& worker) const {
+  if (!unread_workers_.contains(worker)) return false;
+  if (MayHoldEarlierLease(worker)) return true;
   // A worker that this owner is still reading holds the leases that it renews.
-  return std::any_of(unread_workers_.begin(), unread_workers_.end(),
-                     [this](const std::string& id) {
-                       if (MayHoldEarlierLease(id)) return true;
-                       const auto it = workers_.find(id);
-                       return it != workers_.end() &&
-                              it->second->link->Synced();
-                     });
+  const auto it = workers_.find(worker);
+  return it != workers_.end() && it->second->link->Synced();
 }
 
 std::map<std::string, Resources> PartitionOwner::OrphanedUse() const {
@@ -150,7 +153,8 @@
       for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
         if (!StepReady(*job, occurrence, static_cast<int>(s))) continue;
         for (const TaskRecord& task : occurrence.steps[s].tasks) {
-          if (task.state == TaskState::kWaiting && !task.started_or_adopted) {
+          if (task.state == TaskState::kWaiting &&
+              AwaitsOrphanedRun(*job, job->spec.steps[s], task)) {
             use += job->spec.steps[s].need;
           }
         }
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -309,6 +309,7 @@
     recorder_->SetRevision(id, progress->second.revision);
     job->state = JobState::kRunning;
   }
+  InheritPlacements(job, progress != loaded_progress_.end());
   OpenDueOccurrences(job, unix_ms);
   if (early_cancels_.erase(id) > 0) {
     CancelJob(id);
--- a/lib/Partition/OwnerSuspectStarts.cc
+++ b/lib/Partition/OwnerSuspectStarts.cc
@@ -1,5 +1,7 @@
-// Starts of tasks that may crash their workers: stored before they are sent, so
-// that the crash is known even if this owner is replaced before it sees it.
+// Starts that are stored before they are sent: of tasks that may crash their
+// workers, so that the crash is known even if this owner is replaced before it
+// sees it, and of lasting tasks, so that a later owner knows where to look for
+// their runs.
 #include <algorithm>
 
 #include "basilusher/Partition/PartitionOwner.h"
@@ -11,6 +13,13 @@
 /// After its first crash a task waits this long for a store that is away. Other
 /// suspects give the worker back after it.
 constexpr Millis kMaxStoreWait{500};
+/// A lasting task gives the worker back after this time. Longer than a write
+/// takes at a slow store, which would otherwise keep the task from starting.
+constexpr Millis kMaxLastingStoreWait{3000};
+
+bool IsLasting(const JobRecord& job, const TaskId& id) {
+  return job.spec.steps[static_cast<std::size_t>(id.step)].lasting;
+}
 
 }  // namespace
 
@@ -19,6 +28,7 @@
   const TimePoint now = deps_.clock->Now();
   if (now < task.not_before) return false;
   if (task.ended_unreported && !TermIsConfirmed()) return false;
+  if (step.lasting && task.evidence_writes > 0) return false;
   if (!IsSuspect(task)) return true;
   if (MustGiveUp(step, task)) return false;
   if (now < task.unconfirmed_until) return false;
@@ -33,6 +43,10 @@
   HeldStart held{.run = run, .since = deps_.clock->Now()};
   for (const PlacedTask& member : placed) {
     ReserveWorker(job, member.task, member.worker, run);
+    if (IsLasting(*job, member.task)) {
+      NotePlacement(member.task, member.worker->capacity.id);
+      held.lasting = true;
+    }
     held.members.push_back({.task = member.task,
                             .incarnation = member.worker->link->Incarnation()});
     TaskRecord* task = jobs_.FindTask(member.task);
@@ -56,7 +70,12 @@
   const TimePoint now = deps_.clock->Now();
   for (auto it = held_starts_.begin(); it != held_starts_.end();) {
     const HeldStart& held = it->second;
-    const bool late = now - held.since >= kMaxStoreWait;
+    const bool late = now - held.since >=
+                      (held.lasting ? kMaxLastingStoreWait : kMaxStoreWait);
+    if (held.lasting && !held.stored && !late) {
+      ++it;
+      continue;
+    }
     const bool may_start = MayStillStart(held);
     if (may_start && !held.stored && !late) {
       ++it;
@@ -122,6 +141,7 @@
 }
 
 bool PartitionOwner::MayStartUnstored(const HeldStart& held) {
+  if (held.lasting) return false;
   return std::all_of(held.members.begin(), held.members.end(),
                      [this](const HeldStart::Member& member) {
                        const TaskRecord* task = jobs_.FindTask(member.task);
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -287,6 +287,7 @@
     AdoptRun(job, running.task, worker->capacity.id, running,
              deps_.clock->Now());
     Allocate(worker, job, running.task);
+    NoteReportedRun(running.task, worker->capacity.id);
     NoteAlive(running.task, task, Millis(0));
     LogEvent(LogLevel::kInfo, "run-adopted",
              {{"task", FormatTaskId(running.task)},
@@ -300,6 +301,7 @@
     ++worker->unknown_job_runs_reported;
     return;
   }
+  if (wanted) NoteReportedRun(running.task, worker->capacity.id);
   if (task != nullptr && IsFinal(job->state)) {
     HoldRoomOfFinishedJob(worker, *job, running);
   }
--- a/unittests/Jobs/JobTableTest.cc
+++ b/unittests/Jobs/JobTableTest.cc
@@ -69,6 +69,37 @@
   EXPECT_EQ(ApplyEnd(&copy, Failed(7), "w1", 3), EndEffect::kIgnored);
 }
 
+TEST(JobTableTest, WorkersOfLastingTasksRoundTripThroughStoredForm) {
+  JobTable table;
+  JobSpec spec = MakeSpec(3);
+  spec.steps[0].lasting = true;
+  JobRecord* job = table.Add(spec, TimePoint{});
+  OpenDueOccurrences(job, 0);
+  job->occurrences.at(0).steps[0].tasks[1].run_workers = {"w1", "w2"};
+  JobRecord copy;
+  copy.spec = job->spec;
+  // Starts may be missing, so nothing is stored.
+  const std::string incomplete = EncodeProgress(*job);
+  copy.placements_term = 4;
+  DecodeProgress(incomplete, &copy);
+  EXPECT_EQ(copy.placements_term, 0);
+  job->placements_term = 7;
+  DecodeProgress(EncodeProgress(*job), &copy);
+  EXPECT_EQ(copy.placements_term, 7);
+  const std::vector<TaskRecord>& tasks = copy.occurrences.at(0).steps[0].tasks;
+  EXPECT_TRUE(tasks[0].run_workers.empty());
+  EXPECT_EQ(tasks[1].run_workers, (std::set<std::string>{"w1", "w2"}));
+}
+
+TEST(JobTableTest, OtherJobsAreStoredAsByEarlierVersions) {
+  JobTable table;
+  JobRecord* job = table.Add(MakeSpec(3), TimePoint{});
+  OpenDueOccurrences(job, 0);
+  const std::string bytes = EncodeProgress(*job);
+  job->placements_term = 7;
+  EXPECT_EQ(EncodeProgress(*job), bytes);
+}
+
 TEST(JobTableTest, SpecRoundTripsThroughStoredForm) {
   JobSpec spec = MakeSpec(4);
   spec.workspace = "team";
--- a/unittests/Node/ElectionTest.cc
+++ b/unittests/Node/ElectionTest.cc
@@ -29,6 +29,25 @@
   EXPECT_EQ(a.agent->LocalOwner()->Term(), 1);
 }
 
+/// The term record after a node was elected, by the record before.
+Json TermRecordAfter(const Json& before) {
+  FleetSim sim;
+  SimPeers peers(&sim.timers);
+  sim.store.Put(RecordKeys().term, before.dump());
+  SimNode a(&sim, &peers, "a", kStrong);
+  sim.Run(Millis(2000));
+  EXPECT_NE(a.agent->LocalOwner(), nullptr);
+  return Json::parse(sim.store.Value(RecordKeys().term));
+}
+
+TEST(ElectionTest, TheTermRecordTellsSinceWhenStartsAreStored) {
+  EXPECT_EQ(TermRecordAfter({{"term", 4}, {"starts_stored_since", 3}}),
+            Json({{"term", 5}, {"starts_stored_since", 3}}));
+  // The earlier version does not store them.
+  EXPECT_EQ(TermRecordAfter({{"term", 4}}),
+            Json({{"term", 5}, {"starts_stored_since", 5}}));
+}
+
 /// The store falls silent before either node has a lease and comes back while
 /// the strong node waits for an answer that is lost.
 TEST(ElectionTest, AWeakNodeIsNotElectedBesideAStrongOneAfterAnOutage) {
--- a/unittests/Partition/FleetSim.cc
+++ b/unittests/Partition/FleetSim.cc
@@ -103,6 +103,7 @@
                         .formats = &formats},
       OwnerOptions{.node = "node-" + std::to_string(term_),
                    .term = term_,
+                   .starts_stored_since = starts_stored_since,
                    .term_revision = revision},
       PartitionOwner::Listener{
           .on_deposed = [this, term = term_] { CloseDeposedOwner(term); },
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -408,6 +408,8 @@
   std::vector<std::shared_ptr<PartitionOwner>> former_owners;
   /// What the owner before the current one told of its leases when it ended.
   LongLeases former_leases;
+  /// OwnerOptions::starts_stored_since of later owners.
+  std::int64_t starts_stored_since = 1;
   /// The current owner can confirm its term.
   bool can_confirm_term = true;
   /// Connection to the store of the owner of each term. An owner that is cut
