Evict no lasting task while its next start cannot be stored

StartsHeld() tells that a stopped task would not be started. It is now true while the term is not confirmed, so the task stays where it runs.

Evidence: StoredStartsTest.ALastingTaskIsNotEvictedWhileNoStartCanBeStored has 0 runs of 1 in the outage without the change and passes with it; StoredStartsTest 14 of 14.

--- a/lib/Partition/OwnerFreshness.cc
+++ b/lib/Partition/OwnerFreshness.cc
@@ -76,7 +76,9 @@
 }
 
 bool PartitionOwner::StartsHeld() const {
-  return !MayStart() || held_since_ != TimePoint{} || ViewIsStale();
+  // The start of a lasting task waits for the store.
+  return !MayStart() || !TermIsConfirmed() || held_since_ != TimePoint{} ||
+         ViewIsStale();
 }
 
 bool PartitionOwner::HasStaleView() {
--- a/unittests/Partition/StoredStartsTest.cc
+++ b/unittests/Partition/StoredStartsTest.cc
@@ -265,6 +265,28 @@
   EXPECT_EQ(sim.fleet.StartedRuns(), 1);
 }
 
+TEST_F(StoredStartsTest, ALastingTaskIsNotEvictedWhileNoStartCanBeStored) {
+  SetUpJob(/*workers=*/1, /*tasks=*/1);
+  const std::string worker = WorkerOfFirstTask();
+  const std::string next = sim.fleet.AddWorker("pool");
+  sim.Run(Millis(300));
+  // The other worker has no room until its task ends.
+  JobSpec other = FleetSim::MakeJob(kOther, 1, 3000);
+  other.steps[0].need = sim.fleet.Find(next)->room;
+  sim.Submit(other);
+  sim.Run(Millis(300));
+  ASSERT_FALSE(sim.fleet.Find(next)->running.empty());
+  sim.fleet.Drain(worker);
+  sim.Run(Millis(300));
+  sim.store.fault = SimFault::kRequestLost;
+  sim.Run(Millis(6000));
+  EXPECT_EQ(sim.fleet.DoneTasks(kOther), 1);
+  EXPECT_EQ(Running(), 1);
+  sim.store.fault = SimFault::kNone;
+  sim.Run(Millis(2000));
+  EXPECT_EQ(WorkerOfFirstTask(), next);
+}
+
 TEST_F(StoredStartsTest, StartsOfManyTasksShareWrites) {
   constexpr int kTasks = 100;
   for (int i = 0; i < 10; ++i) sim.fleet.AddWorker("pool");
