--- a/lib/Partition/OwnerWaits.cc
+++ b/lib/Partition/OwnerWaits.cc
@@ -92,7 +92,7 @@
     if (!spec.gang && id.index < record.first_waiting) {
       facts.counted_as_waiting = false;
     }
-    AddWaitFacts(spec, task, &facts);
+    AddWaitFacts(job, spec, task, &facts);
     wait->condition = ConditionOf(facts);
   }
 }
@@ -120,13 +120,13 @@
                   });
   facts.in_gang = spec.gang;
   facts.gang_member_held =
-      spec.gang &&
-      std::any_of(record.tasks.begin(), record.tasks.end(),
-                  [&](const TaskRecord& task) {
-                    return task.state != TaskState::kWaiting ||
-                           !TaskMayStart(spec, task) ||
-                           (facts.may_be_orphaned && !task.started_or_adopted);
-                  });
+      spec.gang && std::any_of(record.tasks.begin(), record.tasks.end(),
+                               [&](const TaskRecord& task) {
+                                 return task.state != TaskState::kWaiting ||
+                                        !TaskMayStart(spec, task) ||
+                                        (facts.may_be_orphaned &&
+                                         AwaitsOrphanedRun(job, spec, task));
+                               });
   facts.within_cap = WithinCap(job, spec.need * (spec.gang ? spec.count : 1));
   if (facts.queue_configured) {
     facts.workers = CountEligible(job, occurrence, step);
@@ -134,7 +134,8 @@
   return facts;
 }
 
-void PartitionOwner::AddWaitFacts(const StepSpec& step, const TaskRecord& task,
+void PartitionOwner::AddWaitFacts(const JobRecord& job, const StepSpec& step,
+                                  const TaskRecord& task,
                                   WaitFacts* facts) const {
   const TimePoint now = deps_.clock->Now();
   facts->start_held = task.start_held;
@@ -146,7 +147,8 @@
   facts->loss_unconfirmed = IsSuspect(task) && now < task.unconfirmed_until;
   // The last of the conditions of TaskMayStart().
   facts->evidence_unstored = !TaskMayStart(step, task);
-  if (task.started_or_adopted) facts->may_be_orphaned = false;
+  facts->may_be_orphaned =
+      facts->may_be_orphaned && AwaitsOrphanedRun(job, step, task);
 }
 
 EligibleWorkers PartitionOwner::CountEligible(const JobRecord& job,
