--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -10,6 +10,11 @@
 STABLE_WINDOW_S = 3.0
 THAW_S = 0.3
 ATTEMPTS = 3
+# A lasting task without a run is lost after LASTING_GAP_S of calm, counted from
+# LASTING_RESTART_S after its last run, and with CALM_BEFORE_S of calm before.
+LASTING_RESTART_S = 6.0
+LASTING_GAP_S = 3.0
+CALM_BEFORE_S = 4.0
 
 
 @dataclasses.dataclass
@@ -205,6 +210,72 @@
                             f"job {job.id} is shown as {job.state}")
 
 
+@dataclasses.dataclass
+class Gap:
+    """A span in which a lasting task has no run; `last` is the run before."""
+    task: str
+    begin: float
+    end: float
+    last: Run | None
+
+    def within(self, since, until):
+        """Seconds of the gap in the span."""
+        return max(0.0, min(self.end, until) - max(self.begin, since))
+
+
+def lasting_tasks(jobs):
+    """Pairs of a task that lasts and its job, of all accepted jobs."""
+    for job in jobs.values():
+        if job.accepted_at is None:
+            continue
+        for step, spec in enumerate(job.steps):
+            if spec.get("Daemon"):
+                for index in range(spec["Count"]):
+                    yield f"{job.id}.0.{step}.{index}", job
+
+
+def lasting_gaps(runs, jobs, ended_at):
+    """Spans without a run of each accepted task that lasts, from the acceptance
+    until the job is cancelled, or until `ended_at`."""
+    by_task = collections.defaultdict(list)
+    for run in runs:
+        by_task[run.task].append(run)
+    gaps = []
+    for task, job in lasting_tasks(jobs):
+        until = ended_at
+        if job.cancel_sent_at is not None:
+            until = min(until, job.cancel_sent_at)
+        begin, last = job.accepted_at, None
+        for run in sorted(by_task[task], key=lambda run: run.began):
+            if begin < min(run.began, until):
+                gaps.append(Gap(task, begin, min(run.began, until), last))
+            end = float("inf") if run.ended is None else run.ended
+            if end >= begin:
+                begin, last = end, run
+        if begin < until:
+            gaps.append(Gap(task, begin, until, last))
+    return gaps
+
+
+def longest_gap(gaps, since, until):
+    """Longest time in seconds that a task has no run in the span."""
+    return max((gap.within(since, until) for gap in gaps), default=0.0)
+
+
+def check_lasting(gaps, calm):
+    """LOST: a lasting task has no run though nothing disturbs the deployment.
+    `calm` are the spans without trouble."""
+    for gap in gaps:
+        for since, until in calm:
+            begin = max(gap.begin + LASTING_RESTART_S, since + CALM_BEFORE_S)
+            if min(gap.end, until) - begin >= LASTING_GAP_S:
+                yield Violation(
+                    "LOST", begin + LASTING_GAP_S,
+                    f"nothing of {gap.task} from {gap.begin:.3f} to "
+                    f"{gap.end:.3f} after {gap.last or 'its acceptance'}")
+                break
+
+
 def check_refused(runs, jobs):
     """REFUSED: a job starts although all tries to hand it in were rejected."""
     for run in runs:
@@ -232,13 +303,15 @@
                                     f"{task} is done")
 
 
-def check_all(runs, jobs, room, pauses, in_touch, ended_at):
-    """All violations in the order of time."""
+def check_all(runs, jobs, room, pauses, in_touch, ended_at, calm=()):
+    """All violations in the order of time. `calm` are the spans without trouble
+    in which lasting tasks have to run."""
     unasked = list(check_unasked(runs, jobs, in_touch))
     known = [run for run in runs if run.task.split(".", 1)[0] in jobs]
     return sorted(
         [*unasked, *check_twice(runs, pauses),
          *check_room(known, jobs, room), *check_order(known, jobs),
          *check_attempts(known, jobs), *check_refused(known, jobs),
-         *check_shown(known, jobs), *check_lost(known, jobs, ended_at)],
+         *check_shown(known, jobs), *check_lost(known, jobs, ended_at),
+         *check_lasting(lasting_gaps(known, jobs, ended_at), calm)],
         key=lambda violation: violation.at)
--- a/test/soak_checks_test.py
+++ b/test/soak_checks_test.py
@@ -130,6 +130,72 @@
         self.assertEqual(
             self.rules(rows, [job(accepted_at=1.0, state="failed")]), [])
 
+    def gaps_of_rule(self, rows, calm, **fields):
+        """Times at which the rule on lasting tasks is broken."""
+        lasting = Job("aa", {}, [{"Count": 1, "Cpu": 1, "MemMb": 1,
+                                  "Daemon": True}],
+                      **{"accepted_at": 1.0, **fields})
+        gaps = checks.lasting_gaps(checks.runs_of(rows, []), {"aa": lasting},
+                                   60.0)
+        return [violation.at
+                for violation in checks.check_lasting(gaps, calm)]
+
+    def test_a_lasting_task_does_not_run_again(self):
+        rows = [started(2), ended(10, "lapsed")]
+        # From 6 s after its end on, for 3 s.
+        self.assertEqual(self.gaps_of_rule(rows, [(0, 60)]), [19.0])
+        self.assertEqual(self.gaps_of_rule(rows, [(11.9, 60)]), [19.0])
+        # From 4 s after the begin of the calm on, for 3 s.
+        self.assertEqual(self.gaps_of_rule(rows, [(30, 60)]), [37.0])
+        self.assertEqual(self.gaps_of_rule(rows, [(0, 18.9), (20, 26.9)]), [])
+        self.assertEqual(self.gaps_of_rule(rows, [(0, 18.9), (20, 27)]),
+                         [27.0])
+        self.assertEqual(self.gaps_of_rule(rows, []), [])
+
+    def test_a_lasting_task_never_runs(self):
+        self.assertEqual(self.gaps_of_rule([], [(0, 60)]), [10.0])
+        self.assertEqual(self.gaps_of_rule([], [(0, 60)], accepted_at=None),
+                         [])
+
+    def test_a_lasting_task_runs_again_just_in_time(self):
+        rows = [started(2), ended(10, "lapsed"), started(18.9, TWO, run=2)]
+        self.assertEqual(self.gaps_of_rule(rows, [(0, 60)]), [])
+        rows[-1]["at"] = 19.1
+        self.assertEqual(self.gaps_of_rule(rows, [(0, 60)]), [19.0])
+
+    def test_a_lasting_task_that_ran_elsewhere_meanwhile_has_no_gap(self):
+        rows = [started(2), started(5, TWO, run=2), ended(10, "lapsed"),
+                ended(12, "stopped", TWO, run=2), started(20, run=3)]
+        self.assertEqual(self.gaps_of_rule(rows, [(0, 60)]), [])
+
+    def test_a_lasting_task_of_a_cancelled_job_need_not_run(self):
+        rows = [started(2), ended(10, "lapsed")]
+        self.assertEqual(self.gaps_of_rule(rows, [(0, 60)],
+                                           cancel_sent_at=18.9), [])
+        self.assertEqual(self.gaps_of_rule(rows, [(0, 60)],
+                                           cancel_sent_at=19.1), [19.0])
+
+    def test_the_rule_on_lasting_tasks_is_among_all_rules(self):
+        lasting = Job("aa", {}, [{"Count": 1, "Cpu": 1, "MemMb": 1,
+                                  "Daemon": True}], accepted_at=1.0,
+                      cancel_sent_at=50.0, state="cancelled")
+        runs = checks.runs_of([started(2), ended(10, "lapsed")], [])
+        for calm, rules in (((0, 60), ["LOST"]), ((45, 60), [])):
+            found = checks.check_all(runs, {"aa": lasting}, ROOM, {},
+                                     lambda run: True, 60.0, [calm])
+            self.assertEqual([each.rule for each in found], rules)
+
+    def test_gaps_are_measured_in_a_span(self):
+        lasting = Job("aa", {}, [{"Count": 1, "Daemon": True}],
+                      accepted_at=1.0)
+        gaps = checks.lasting_gaps(
+            checks.runs_of([started(2), ended(10, "lapsed"),
+                            started(20, run=2)], []), {"aa": lasting}, 60.0)
+        self.assertEqual(checks.longest_gap(gaps, 0, 60), 10)
+        self.assertEqual(checks.longest_gap(gaps, 12, 15), 3)
+        self.assertEqual(checks.longest_gap(gaps, 20, 60), 0)
+        self.assertEqual(gaps[-1].last.number, 1)
+
     def test_a_job_is_shown_as_succeeded_too_early(self):
         shown = job(accepted_at=1.0, state="succeeded", final_at=2.0)
         rows = [started(1), ended(3, "done")]
