Soak: lasting jobs that stay, a calm span, and the owner's stop in an outage

Besides rule LOST, a story reports the lasting tasks whose last run was on another worker than the silent one and that have no run while it stays silent, by the rule's bounds.

--- a/test/soak/__main__.py
+++ b/test/soak/__main__.py
@@ -6,6 +6,8 @@
 import sys
 import time
 
+from .story import SILENT_KINDS, StoryOptions
+
 
 def parse():
     parser = argparse.ArgumentParser(
@@ -23,23 +25,45 @@
     parser.add_argument("--workers", type=int, default=9)
     parser.add_argument("--kinds", default="",
                         help="kinds of trouble, with commas; all if not given")
+    parser.add_argument("--story", action="store_true",
+                        help="the owner stops at the begin of an outage and a "
+                        "worker falls silent, in place of random troubles")
+    parser.add_argument("--silent", choices=SILENT_KINDS,
+                        help="how the worker of a story falls silent")
+    parser.add_argument("--outage", type=float, metavar="SECONDS",
+                        help="length of the outage of a story")
+    parser.add_argument("--away", type=float, metavar="SECONDS",
+                        help="how long the stopped owner of a story is away")
+    parser.add_argument("--how", choices=("stop", "kill"),
+                        help="how the owner of a story ends; what is not given "
+                        "is drawn from the seed")
     parser.add_argument("--keep", metavar="FOLDER",
                         help="keeps the records of plays that broke a rule")
     parser.add_argument("--one", action="store_true", help=argparse.SUPPRESS)
     return parser.parse_args()
 
 
+def story_of(arguments):
+    if not arguments.story:
+        return None
+    return StoryOptions(
+        silent=arguments.silent, outage_s=arguments.outage,
+        away_s=arguments.away,
+        kill=None if arguments.how is None else arguments.how == "kill")
+
+
 def play_one(arguments):
     from .play import Options, play
-    violations, starts = play(Options(
+    result = play(Options(
         seed=arguments.seed, seconds=arguments.seconds, nodes=arguments.nodes,
         workers=arguments.workers, keep=arguments.keep,
-        kinds=tuple(filter(None, arguments.kinds.split(",")))))
-    print(f"seed {arguments.seed}: {starts} starts, "
-          f"{len(violations)} broken", flush=True)
-    for violation in violations[:20]:
+        kinds=tuple(filter(None, arguments.kinds.split(","))),
+        story=story_of(arguments)))
+    print(f"seed {arguments.seed}: {result.starts} starts, "
+          f"{len(result.violations)} broken, {result.waits}", flush=True)
+    for violation in result.violations[:20]:
         print(f"  {violation}")
-    return 1 if violations else 0
+    return 1 if result.violations else 0
 
 
 def play_many(arguments):
@@ -47,8 +71,11 @@
     until = time.monotonic() + 60 * arguments.minutes
     seed, broken = arguments.seed, []
     rest = [f"--{name}={getattr(arguments, name)}"
-            for name in ("seconds", "nodes", "workers", "kinds", "keep")
+            for name in ("seconds", "nodes", "workers", "kinds", "keep",
+                         "silent", "outage", "away", "how")
             if getattr(arguments, name)]
+    if arguments.story:
+        rest.append("--story")
     while (seed < arguments.seed + arguments.seeds
            or time.monotonic() < until):
         code = subprocess.run([sys.executable, "-m", "soak", "--one",
--- a/test/soak/clients.py
+++ b/test/soak/clients.py
@@ -13,6 +13,13 @@
 PREFIX = "/settle/"
 CALL_TIMEOUT_S = 3.0
 FINAL = ("succeeded", "failed", "cancelled")
+# Pauses of a client between two calls, in seconds.
+BUSY_PAUSE_S = (0.2, 1.6)
+QUIET_PAUSE_S = (3.0, 6.0)
+LASTING_MS = 60000
+# So much that the tasks are spread over several workers.
+LASTING_CPU = (2500, 5000)
+SUBMIT_TRIES = 40
 
 
 @dataclasses.dataclass
@@ -92,6 +99,17 @@
     return Job(f"{seed & 0xffffff:06x}{rng.getrandbits(40):010x}", spec, steps)
 
 
+def lasting_job(rng, seed, number):
+    """A job of several lasting tasks; some of these jobs have
+    MaxUnavailable."""
+    step = {"Count": rng.randint(2, 5), "Cpu": rng.choice(LASTING_CPU),
+            "MemMb": 300, "EstimateMs": LASTING_MS, "Daemon": True}
+    if rng.random() < 0.4:
+        step["MaxUnavailable"] = rng.randint(1, step["Count"])
+    return Job(f"f{seed & 0xffffff:06x}{number:09x}",
+               {"ms": LASTING_MS, "lasts": True}, [step])
+
+
 class Clients:
     """Hands jobs in, looks at them and cancels some until stop()."""
 
@@ -100,6 +118,8 @@
         self.seed = seed
         self.lock = threading.Lock()
         self.jobs = {}
+        self.lasting = []
+        self.pause_s = BUSY_PAUSE_S
         self.over = threading.Event()
         self.threads = [threading.Thread(target=self.run, args=(n,),
                                          daemon=True) for n in range(threads)]
@@ -108,6 +128,10 @@
         for thread in self.threads:
             thread.start()
 
+    def ease(self):
+        """From now on few jobs are handed in."""
+        self.pause_s = QUIET_PAUSE_S
+
     def stop(self):
         self.over.set()
         for thread in self.threads:
@@ -137,7 +161,21 @@
                     self.cancel(connections, home, job)
                 else:
                     self.look(connections[home], job)
-            self.over.wait(rng.uniform(0.2, 1.6))
+            self.over.wait(rng.uniform(*self.pause_s))
+
+    def add_lasting(self, count):
+        """Hands in jobs that last and are not cancelled before settle()."""
+        rng = random.Random(f"lasting {self.seed} {len(self.lasting)}")
+        connections = self.connections()
+        for _ in range(count):
+            job = lasting_job(rng, self.seed, len(self.lasting))
+            self.lasting.append(job)
+            with self.lock:
+                self.jobs[job.id] = job
+            self.submit(connections, rng.randrange(len(connections)), job,
+                        SUBMIT_TRIES)
+        for connection in connections:
+            connection.close()
 
     def submit(self, connections, home, job, tries=8):
         """The same id arrives at the next node after no answer."""
--- a/test/soak/platform.py
+++ b/test/soak/platform.py
@@ -80,6 +80,11 @@
         self.mute_until[worker] = max(self.mute_until.get(worker, 0),
                                       time.monotonic() + seconds)
 
+    def await_heartbeats(self):
+        """Waits until the heartbeats of all workers arrive again."""
+        until = max(self.mute_until.values(), default=0)
+        time.sleep(max(0, until - time.monotonic()))
+
     def serve(self, method, path, query, body, headers):
         if path == "/standin/beat":
             return self.serve_beat(method, path, query, body, headers)
--- a/test/soak/play.py
+++ b/test/soak/play.py
@@ -5,6 +5,7 @@
 import os
 import re
 import shutil
+import threading
 import time
 
 import harness
@@ -13,11 +14,18 @@
 from . import checks
 from .clients import PREFIX, Clients
 from .deployment import SoakDeployment
+from .platform import ENTRY_RETURN_S
+from .story import Story, StoryOptions, drawn
 from .troubles import FIRST_VERSION, STORE, Troubles
 
 # Fences of an owner begin with its term.
 FENCES_PER_TERM = 1000000
 SETUP_AND_END_S = 120
+# Clients beside a story, and lasting jobs of a play.
+STORY_CLIENTS = 2
+LASTING_JOBS = 6
+LATE_LASTING_JOBS = 2
+START_S = 4.0
 
 
 @dataclasses.dataclass
@@ -28,9 +36,40 @@
     workers: int = 9
     kinds: tuple = ()
     settle_s: float = 45.0
+    # Span without trouble in which lasting tasks have to run.
+    calm_s: float = 15.0
+    # Played in place of random troubles.
+    story: StoryOptions | None = None
     keep: str | None = None
 
 
+@dataclasses.dataclass
+class Waits:
+    """How long lasting tasks had no run; times in seconds."""
+    calm_s: float
+    # Since the store's return in a story, by the worker of their last run.
+    others_s: float | None = None
+    silent_s: float | None = None
+    # Tasks of other workers that waited longer than the rule allows in calm
+    # while one worker stayed silent.
+    held: list = dataclasses.field(default_factory=list)
+
+    def __str__(self):
+        text = f"longest wait in calm {self.calm_s:.1f} s"
+        if self.others_s is not None:
+            text += (f", since the store's return {self.others_s:.1f} s "
+                     f"({self.silent_s:.1f} s of the silent worker's tasks), "
+                     f"{len(self.held)} held by the silent worker")
+        return text
+
+
+@dataclasses.dataclass
+class Result:
+    violations: list
+    starts: int
+    waits: Waits
+
+
 def elected(deployment):
     """Node of each term, from the nodes' logs."""
     terms = {}
@@ -98,50 +137,123 @@
         json.dumps([str(violation) for violation in violations[:50]]))
 
 
-def judge(deployment, jobs, kills):
-    """Violations in what has happened so far, and the number of starts. Times
-    are seconds since the deployment began."""
+def runs_so_far(deployment, kills):
+    """Runs in the workers' records. Times are seconds since the deployment
+    began."""
     began = deployment.began
+    rows = [since_began(began, row, ("at", "lease_ended_at"))
+            for row in deployment.worker_events()]
+    return checks.runs_of(rows, [(at - began, host) for at, host in kills])
 
-    def relative(rows):
-        return [since_began(began, row, ("at", "lease_ended_at"))
-                for row in rows]
+
+def judge(deployment, jobs, kills, calm=()):
+    """Violations in what has happened so far, and the number of starts. Times
+    are seconds since the deployment began; `calm` are monotonic spans."""
+    began = deployment.began
     now = time.monotonic() - began
-    runs = checks.runs_of(relative(deployment.worker_events()),
-                          [(at - began, host) for at, host in kills])
+    runs = runs_so_far(deployment, kills)
     violations = checks.check_all(
         runs, jobs_since_began(began, jobs), deployment.room,
-        pauses_of(relative(deployment.record)),
-        in_touch_by(deployment, elected(deployment)), now)
+        pauses_of([since_began(began, row, ("at",))
+                   for row in deployment.record]),
+        in_touch_by(deployment, elected(deployment)), now,
+        [(since - began, until - began) for since, until in calm])
     violations += [checks.Violation("FAULT", now, end)
                    for end in aborts(deployment)]
     return violations, len(runs)
 
 
+def gaps_so_far(deployment, clients, kills):
+    began = deployment.began
+    return checks.lasting_gaps(
+        runs_so_far(deployment, kills), jobs_since_began(began, clients.jobs),
+        time.monotonic() - began)
+
+
+def lasting_runs(deployment, clients, kills):
+    """Runs of the tasks that are not cancelled."""
+    names = {job.id for job in clients.lasting}
+    return [run for run in runs_so_far(deployment, kills)
+            if run.task.split(".", 1)[0] in names]
+
+
+def play_troubles(options, deployment, troubles, clients):
+    """Returns the begin of the calm."""
+    late = threading.Timer(options.seconds / 2, clients.add_lasting,
+                           [LATE_LASTING_JOBS])
+    late.start()
+    troubles.run(options.seconds)
+    clients.ease()
+    late.join()
+    troubles.finish()
+    return time.monotonic()
+
+
+def story_waits(gaps, story, began, until):
+    """Waits beside the silent worker, until the end of the calm."""
+    back, calm_at = story.store_back_at - began, story.calm_at - began
+    own = [gap for gap in gaps if story.is_of_silent_worker(gap)]
+    others = [gap for gap in gaps if not story.is_of_silent_worker(gap)]
+    return {
+        "others_s": checks.longest_gap(others, back, until - began),
+        "silent_s": checks.longest_gap(own, back, until - began),
+        "held": list(checks.check_lasting(
+            others, [(back + ENTRY_RETURN_S, calm_at)]))}
+
+
 def play(options):
-    """Plays one seed; returns the violations and the number of starts."""
+    """Plays one seed."""
+    story_options = options.story and drawn(options.story, options.seed)
+    calm_s = story_options.calm_s if options.story else options.calm_s
+    trouble_s = options.seconds
+    if options.story:
+        trouble_s = (story_options.outage_s + story_options.silence_s
+                     + story_options.away_s)
     deployment = SoakDeployment(
         options.nodes, options.workers,
-        limit_s=int(options.seconds + options.settle_s + SETUP_AND_END_S))
+        limit_s=int(trouble_s + calm_s + options.settle_s + SETUP_AND_END_S))
     try:
         for n, host in enumerate(deployment.hosts):
             deployment.clock_rates[host] = 1.0 - 0.02 * (n % 3) / 2
         deployment.start(configuration(FIRST_VERSION - 1,
                                        [route("r-settle", PREFIX)]))
         troubles = Troubles(deployment, options.seed, options.kinds)
-        troubles.prepare()
-        clients = Clients(deployment, options.seed)
+        clients = Clients(deployment, options.seed,
+                          **({"threads": STORY_CLIENTS} if story_options
+                             else {}))
+        clients.add_lasting(LASTING_JOBS)
+        story = None
+        if story_options:
+            story = Story(deployment, troubles, story_options, options.seed)
+        else:
+            troubles.prepare()
         clients.begin()
-        time.sleep(4)
-        troubles.run(options.seconds)
-        troubles.finish()
+        time.sleep(START_S)
+        if story:
+            clients.ease()
+            story.run(lasting_runs(deployment, clients, troubles.kills))
+            story.end_silence()
+            calm_at = story.calm_at
+        else:
+            calm_at = play_troubles(options, deployment, troubles, clients)
+        time.sleep(calm_s)
+        calm_until = time.monotonic()
         clients.stop()
+        if story:
+            story.finish()
         clients.settle(options.settle_s)
-        violations, starts = judge(deployment, clients.jobs, troubles.kills)
-        if options.keep and violations:
+        violations, starts = judge(deployment, clients.jobs, troubles.kills,
+                                   [(calm_at, calm_until)])
+        gaps = gaps_so_far(deployment, clients, troubles.kills)
+        waits = Waits(checks.longest_gap(gaps, calm_at - deployment.began,
+                                         calm_until - deployment.began))
+        if story:
+            waits = dataclasses.replace(waits, **story_waits(
+                gaps, story, deployment.began, calm_until))
+        if options.keep and (violations or waits.held):
             keep_record(deployment,
                         os.path.join(options.keep, f"seed-{options.seed}"),
-                        violations)
-        return violations, starts
+                        violations + waits.held)
+        return Result(violations, starts, waits)
     finally:
         deployment.close()
--- a/test/soak/troubles.py
+++ b/test/soak/troubles.py
@@ -73,6 +73,7 @@
     def finish(self):
         for thread in self.threads:
             thread.join()
+        self.deployment.platform.await_heartbeats()
 
     def take(self, name):
         """Claims a process; False while another trouble has it."""
--- a/test/soak_test.py
+++ b/test/soak_test.py
@@ -8,6 +8,7 @@
 from soak.clients import PREFIX, Clients, Job
 from soak.deployment import SoakDeployment
 from soak.play import Options, judge, play
+from soak.story import StoryOptions
 
 import harness  # found by way of soak
 
@@ -17,6 +18,10 @@
 SETTLE_S = 60.0
 
 
+def first_of(violations):
+    return [str(violation) for violation in violations[:8]]
+
+
 class FaultTest(unittest.TestCase):
     """Five nodes, and six workers with the slowest clocks."""
 
@@ -54,7 +59,7 @@
         clients.jobs = self.jobs
         clients.settle(SETTLE_S)
         violations, _ = judge(self.deployment, self.jobs, kills=[])
-        self.assertEqual([str(violation) for violation in violations[:8]], [],
+        self.assertEqual(first_of(violations), [],
                          f"{len(violations)} violations")
 
 
@@ -123,10 +128,27 @@
 
 class SoakTest(unittest.TestCase):
     def test_rules_hold_under_random_troubles(self):
-        violations, starts = play(Options(seed=37, seconds=40))
-        self.assertEqual([str(violation) for violation in violations[:8]], [],
-                         f"{len(violations)} violations")
-        self.assertGreater(starts, 0)
+        result = play(Options(seed=37, seconds=40))
+        self.assertEqual(first_of(result.violations), [],
+                         f"{len(result.violations)} violations")
+        self.assertGreater(result.starts, 0)
+
+
+class LastingTasksTest(unittest.TestCase):
+    def test_a_lasting_task_runs_again_after_the_owner_stops_in_an_outage(self):
+        result = play(Options(seed=40, story=StoryOptions(
+            silent="cut", outage_s=5, kill=False, away_s=1, silence_s=3)))
+        self.assertEqual(first_of(result.violations), [], result.waits)
+
+
+class SilentWorkerTest(unittest.TestCase):
+    def test_a_silent_worker_does_not_hold_tasks_of_others_after_an_outage(
+            self):
+        result = play(Options(seed=41, story=StoryOptions(
+            silent="cut", outage_s=5, kill=False, away_s=14, silence_s=11,
+            calm_s=0)))
+        self.assertEqual(first_of(result.violations), [], result.waits)
+        self.assertEqual(first_of(result.waits.held), [], result.waits)
 
 
 if __name__ == "__main__":
