--- a/test/soak/story.py
+++ b/test/soak/story.py
@@ -20,6 +20,8 @@
 class StoryOptions:
     """What is None is drawn from the seed."""
     silent: str | None = None
+    # All leases lapse in one of more than 5.2 s: the owner goes on for a second,
+    # and leases of runs last 4.1 s.
     outage_s: float | None = None
     # The owner is killed rather than stopped as planned.
     kill: bool | None = None
@@ -67,7 +69,7 @@
         self.calm_at = None
 
     def busiest_host(self, runs):
-        """Host of the worker that most of the running tasks in `runs` are on."""
+        """Host of the worker that has most of the running tasks."""
         hosts = collections.Counter(
             run.host for run in runs if run.ended is None)
         return max(hosts, key=lambda host: (hosts[host], host))
