OwnerTest: keep an old end unacknowledged without a start that is not stored

The test let a lasting task start on its second worker while the store did not answer. Such a start now waits for the store, so that it found no second worker and dereferenced null. What it guards is the old end of the first run: the worker now misses that its end was stored, which the test asserts, and the second run is on a worker that the next owner cannot read, as before.

--- a/unittests/Partition/OwnerTest.cc
+++ b/unittests/Partition/OwnerTest.cc
@@ -142,8 +142,9 @@
   FleetSim sim;
   SetUpFleet(&sim, 2);
   JobSpec job = FleetSim::MakeJob(kJob, 1, 6000);
-  // The first run is stopped when its worker drains; the second one runs on the
-  // other worker while the store does not answer.
+  // The first run is stopped when its worker drains, and the worker does not
+  // learn that its end is stored. The second one runs on the other worker while
+  // the store does not answer.
   job.steps[0].lasting = true;
   sim.Submit(job);
   sim.Run(Millis(200));
@@ -151,16 +152,24 @@
   for (const std::string& id : sim.fleet.AliveWorkerIds()) {
     if (!sim.fleet.Find(id)->running.empty()) first = id;
   }
-  sim.store.fault = SimFault::kNone;
   sim.fleet.Drain(first);
-  sim.Run(Millis(15));
-  sim.store.fault = SimFault::kRequestLost;
-  sim.Run(Millis(600));
+  for (int i = 0; i < 1000 && sim.fleet.Find(first)->ended.empty(); ++i) {
+    sim.Run(Millis(1));
+  }
+  // The owner has heard of the end, and has not stored it yet.
+  sim.Run(Millis(10));
+  sim.fleet.Find(first)->fault = SimFault::kRequestLost;
+  sim.Run(Millis(200));
   std::string second;
   for (const std::string& id : sim.fleet.AliveWorkerIds()) {
     if (!sim.fleet.Find(id)->running.empty()) second = id;
   }
+  ASSERT_FALSE(second.empty());
   ASSERT_NE(first, second);
+  sim.store.fault = SimFault::kRequestLost;
+  sim.Run(Millis(600));
+  ASSERT_FALSE(sim.fleet.Find(first)->ended.empty());
+  sim.fleet.Find(first)->fault = SimFault::kNone;
   sim.store.fault = SimFault::kNone;
   sim.owner->Close();
   sim.fleet.AddWorker("pool");
