--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -87,6 +87,8 @@
   std::size_t UnreadWorkers() const { return unread_workers_.size(); }
   /// Why this owner took its term for over, if it did.
   const std::optional<Deposal>& Deposed() const { return deposal_; }
+  /// Jobs that this owner manages. For tests.
+  const JobTable& Jobs() const { return jobs_; }
   /// True if no write of job records is pending or in flight.
   bool RecordsIdle() const { return recorder_->Idle(); }
 
--- a/unittests/Partition/SequenceTest.cc
+++ b/unittests/Partition/SequenceTest.cc
@@ -3,16 +3,14 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
-#include <cstdlib>
-
 #include "FleetSim.h"
+#include "SequenceSeeds.h"
 #include "basilusher/Support/Json.h"
 
 namespace basilusher {
 namespace {
 
 constexpr int kDefaultSeeds = 300;
-constexpr int kFirstSeed = 20261204;
 constexpr int kEvents = 60;
 constexpr int kMaxPauseMs = 250;
 /// In sequences with owners in doubt, whose troubles and tasks last for
@@ -34,16 +32,14 @@
 constexpr int kEntryReturnsMs = 2000;
 constexpr int kMaxLastingJobs = 3;
 constexpr std::int64_t kFencesPerTerm = 1000000;
-
-int Seeds() {
-  const char* text = std::getenv("BASILUSHER_SEEDS");
-  return text == nullptr ? kDefaultSeeds : std::atoi(text);
-}
-
-int FirstSeed() {
-  const char* text = std::getenv("BASILUSHER_FIRST_SEED");
-  return text == nullptr ? kFirstSeed : std::atoi(text);
-}
+/// The last trouble of a sequence of each kind is over this long after its
+/// faults are cleared: the last entry is back, and the last owner has begun.
+constexpr Millis kWideTail{6000};
+constexpr Millis kDoubtTail{13500};
+/// A lasting task that no lease holds back runs within this time.
+constexpr Millis kRunsAgain{3000};
+/// Jobs have ended this long after the faults are cleared.
+constexpr Millis kAllOver{60000};
 
 enum class SequenceKind : std::uint8_t { kBasic, kWide, kDoubt };
 
@@ -73,17 +69,19 @@
     const int max_pause_ms = doubt_ ? kDoubtMaxPauseMs : kMaxPauseMs;
     for (int i = 0; i < events; ++i) {
       Step();
-      sim_.Run(Millis(Pick(max_pause_ms)));
+      RunChecked(&sim_, Millis(Pick(max_pause_ms)));
     }
     ClearFaults();
-    sim_.Run(Millis(60000));
+    const Millis bound =
+        (doubt_ ? kDoubtTail : kWideTail) + kEarlierLeases + kRunsAgain;
+    RunChecked(&sim_, bound);
+    ExpectLastingTasksRun();
+    RunChecked(&sim_, kAllOver - bound);
     EXPECT_THAT(sim_.fleet.Violations(), testing::IsEmpty());
     for (const std::string& job : jobs_) {
       EXPECT_TRUE(IsFinal(sim_.StateOf(job))) << job << " never ended";
     }
-    for (const auto& [job, tasks] : lasting_) {
-      EXPECT_EQ(sim_.fleet.RunningTasks(job), tasks) << job << " does not run";
-    }
+    ExpectLastingTasksRun();
   }
 
  private:
@@ -93,6 +91,14 @@
     return static_cast<int>(random_() % static_cast<unsigned>(below));
   }
 
+  void ExpectLastingTasksRun() {
+    for (const auto& [job, tasks] : lasting_) {
+      EXPECT_EQ(sim_.fleet.RunningTasks(job), tasks)
+          << job << " does not run at "
+          << sim_.timers.Now().time_since_epoch().count();
+    }
+  }
+
   void Step() {
     const int kind = Pick(doubt_  ? kDoubtKinds
                           : wide_ ? kWideKinds
@@ -486,14 +492,8 @@
 };
 
 void RunAll(SequenceKind kind) {
-  const int seeds = Seeds();
-  const int first = FirstSeed();
-  const bool go_on = std::getenv("BASILUSHER_ALL_FAILURES") != nullptr;
-  for (int i = 0; i < seeds; ++i) {
-    SCOPED_TRACE("seed " + std::to_string(first + i));
-    Sequence(static_cast<std::uint64_t>(first + i), kind).Run();
-    if (testing::Test::HasFailure() && !go_on) return;
-  }
+  RunSeeds(kDefaultSeeds,
+           [kind](std::uint64_t seed) { Sequence(seed, kind).Run(); });
 }
 
 TEST(SequenceTest, PromisesHoldUnderRandomFaults) {
