--- a/unittests/Partition/LastingTaskTest.cc
+++ b/unittests/Partition/LastingTaskTest.cc
@@ -125,6 +125,26 @@
   EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
 }
 
+// The owner counts with the longest lease of a worker that has just restarted,
+// though its runs have only ever had the usual one.
+TEST_F(LastingTaskTest, ATaskOfAWorkerThatDiesSoonAfterItsRestartRunsAgain) {
+  sim.fleet.restart_mode = SimFleet::RestartMode::kSameId;
+  sim.fleet.restart_delay = Millis(0);
+  SetUpFleet(1);
+  SubmitLasting(1);
+  const std::string worker = AwaitStart();
+  sim.Run(Millis(6000));
+  sim.fleet.CrashAndRestart(worker);
+  sim.Run(Millis(100));
+  EXPECT_EQ(AwaitStart(), worker);
+  sim.Run(Millis(400));
+  sim.fleet.AddWorker("pool");
+  sim.fleet.Crash(worker);
+  sim.Run(kAfterLastRun);
+  EXPECT_EQ(sim.fleet.RunningTasks(kJob), 1);
+  EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
+}
+
 /// Tasks on several workers. The owner is killed as an outage of the store
 /// begins, and the next one cannot read one of the workers.
 class HeldByUnreadWorkerTest : public LastingTaskTest {
