--- a/unittests/Partition/LastingTaskTest.cc
+++ b/unittests/Partition/LastingTaskTest.cc
@@ -125,6 +125,60 @@
   EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
 }
 
+// A run that has proven harmless takes back what was held against its task,
+// however it ends.
+TEST_F(LastingTaskTest, CrashesBeforeALongRunThatWasDrainedHoldNoTaskBack) {
+  sim.fleet.restart_mode = SimFleet::RestartMode::kSameId;
+  sim.fleet.restart_delay = Millis(500);
+  SetUpFleet(6);
+  SubmitLasting(1);
+  for (int i = 0; i < 2; ++i) {
+    sim.fleet.CrashAndRestart(AwaitStart());
+  }
+  const std::string drained = AwaitStart();
+  sim.Run(Millis(60000));
+  ASSERT_EQ(WorkerOf(kTask), drained);
+  sim.fleet.Drain(drained);
+  for (int i = 0;
+       i < 3000 && (WorkerOf(kTask).empty() || WorkerOf(kTask) == drained);
+       ++i) {
+    sim.Run(Millis(1));
+  }
+  ASSERT_NE(WorkerOf(kTask), drained);
+  sim.fleet.CrashAndRestart(AwaitStart());
+  sim.Run(kAfterLastRun);
+  EXPECT_EQ(sim.fleet.RunningTasks(kJob), 1);
+  EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
+}
+
+// A crash that the list of instances does not show is still seen when the
+// worker returns.
+TEST_F(LastingTaskTest,
+       ATaskThatCrashesWorkersThatReturnLateIsStartedFewTimes) {
+  sim.fleet.restart_mode = SimFleet::RestartMode::kSameId;
+  sim.fleet.restart_delay = Millis(12000);
+  sim.fleet.list_shows_crashes = false;
+  sim.fleet.crashing_tasks = {kTask};
+  SetUpFleet(6);
+  SubmitLasting(1);
+  sim.Run(Millis(120000));
+  EXPECT_LE(sim.fleet.StartsOf(kTask), 5);
+  EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
+}
+
+TEST_F(LastingTaskTest,
+       ATaskThatCrashesWorkersThatReturnLateUnderNewIdsIsStartedFewTimes) {
+  sim.fleet.restart_mode = SimFleet::RestartMode::kNewIdNewAddress;
+  sim.fleet.restart_delay = Millis(12000);
+  sim.fleet.list_shows_crashes = false;
+  sim.fleet.crashing_tasks = {kTask};
+  SetUpFleet(6);
+  SubmitLasting(1);
+  sim.Run(Millis(120000));
+  EXPECT_LE(sim.fleet.StartsOf(kTask), 5);
+  EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
+}
+
 /// Tasks on several workers. The owner is killed as an outage of the store
 /// begins, and the next one cannot read one of the workers.
 class HeldByUnreadWorkerTest : public LastingTaskTest {
--- a/unittests/Partition/StoredStartsTest.cc
+++ b/unittests/Partition/StoredStartsTest.cc
@@ -287,6 +287,29 @@
   EXPECT_EQ(WorkerOfFirstTask(), next);
 }
 
+// A start of an owner that told how its term ended is carried out late by the
+// worker's next incarnation, with a lease computed from the earlier clock.
+TEST_F(StoredStartsTest, ALateStartOnTheNextIncarnationOutlastsAnEndedTerm) {
+  const std::string late = sim.fleet.AddWorker("pool");
+  sim.BeginTerm();
+  sim.Run(Millis(12000));
+  sim.fleet.Find(late)->fault = SimFault::kDelayed;
+  sim.Submit(LastingJob(1));
+  sim.Run(Millis(200));
+  ASSERT_EQ(sim.fleet.StartedRuns(), 0);
+  sim.Restart(late, Millis(20));
+  sim.owner->Close();
+  const EndedTerm ended = sim.owner->DescribeEnd();
+  Silence(late);
+  const std::string other = sim.fleet.AddWorker("pool");
+  sim.Run(kLeasesLapse);
+  ASSERT_EQ(sim.fleet.Find(late)->running.size(), 1U);
+  sim.BeginTerm();
+  sim.owner->NotePreviousTermEnded(Aged(ended, kLeasesLapse));
+  sim.Run(kEarlierLeases + kBriefly);
+  EXPECT_TRUE(sim.fleet.Find(other)->running.contains({.job = kJob}));
+}
+
 TEST_F(StoredStartsTest, StartsOfManyTasksShareWrites) {
   constexpr int kTasks = 100;
   for (int i = 0; i < 10; ++i) sim.fleet.AddWorker("pool");
