Take back what was held against a lasting task once a run of it proves harmless

Callers would see a lasting task without a run for 2 minutes and more after one crash of a worker, if earlier crashes, however long ago, had been counted against it.

Cause: evidence was taken back only if the harmless run itself ended in a crash.

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -250,7 +250,7 @@
   /// Forgets that a worker may have crashed under the run.
   void ForgetUnconfirmed(const TaskId& id, std::int64_t run);
   /// The worker lists the run. That of a suspect stays stored until it has
-  /// worked for long.
+  /// worked for long; then nothing is held against its task any more.
   void NoteAlive(const TaskId& id, TaskRecord* task, Millis worked_for);
   /// True if no other member of the task's gang may share its worker.
   bool MustStartApart(const TaskRecord& task) const;
--- a/lib/Partition/OwnerCrashes.cc
+++ b/lib/Partition/OwnerCrashes.cc
@@ -175,18 +175,18 @@
 
 void PartitionOwner::NoteAlive(const TaskId& id, TaskRecord* task,
                                Millis worked_for) {
-  const auto row = task->crashes.unconfirmed.find(task->run);
-  if (row == task->crashes.unconfirmed.end()) return;
-  if (!IsSuspect(*task)) {
-    task->crashes.unconfirmed.erase(row);
+  if (task->crashes.Empty()) return;
+  const StepSpec& step =
+      jobs_.Find(id.job)->spec.steps[static_cast<std::size_t>(id.step)];
+  if (CrashAge(step, worked_for) >= kProvenHarmless) {
+    task->crashes = {};
+    recorder_->Save({id.job}, nullptr);
     return;
   }
+  const auto row = task->crashes.unconfirmed.find(task->run);
+  if (row == task->crashes.unconfirmed.end()) return;
   row->second.in_startup = false;
-  const StepSpec& step =
-      jobs_.Find(id.job)->spec.steps[static_cast<std::size_t>(id.step)];
-  if (CrashAge(step, worked_for) < kProvenHarmless) return;
-  task->crashes.unconfirmed.erase(row);
-  recorder_->Save({id.job}, nullptr);
+  if (!IsSuspect(*task)) task->crashes.unconfirmed.erase(row);
 }
 
 void PartitionOwner::ConfirmCrash(WorkerState* worker, bool crash_seen) {
