Complete the record of lasting tasks though a worker is never read

A job of an earlier version stayed without a record of its workers while one listed worker could not be read, also after all earlier leases were over: the next owner held all its tasks back (found by review). Only workers that may still run tasks unreported count now.

Evidence: StoredStartsTest.ARecordIsCompletedThoughASilentWorkerIsNeverRead passes; not run without the change.

--- a/lib/Partition/OwnerPlacements.cc
+++ b/lib/Partition/OwnerPlacements.cc
@@ -18,7 +18,13 @@
 }
 
 void PartitionOwner::CompletePlacements() {
-  if (placements_completed_ || !unread_workers_.empty()) return;
+  if (placements_completed_) return;
+  // A worker that stays unread once no earlier lease can last holds no run.
+  if (std::any_of(
+          unread_workers_.begin(), unread_workers_.end(),
+          [this](const std::string& id) { return MayRunUnreported(id); })) {
+    return;
+  }
   placements_completed_ = true;
   std::vector<std::string> changed;
   for (const auto& [id, job] : jobs_.All()) {
--- a/unittests/Node/EndedTermTest.cc
+++ b/unittests/Node/EndedTermTest.cc
@@ -160,6 +160,20 @@
 }
 
 // The successor was away when the owner stopped.
+// As after an outage in which the leases of all nodes ended.
+TEST_F(OwnerStopsInOutageTest, APeerThatHasNotRegisteredAgainYetIsTold) {
+  for (const char* name : {"b", "c"}) {
+    sim.store.Remove(RecordKeys().node_prefix + name);
+  }
+  sim.Run(Millis(200));
+  sim.fleet.Find(worker)->fault = SimFault::kRequestLost;
+  Stop(&a, "a");
+  Lapse("a");
+  sim.Run(kElection + Millis(4500));
+  ASSERT_NE(b.agent->LocalOwner(), nullptr);
+  EXPECT_EQ(Restarted(), kTasks);
+}
+
 TEST_F(OwnerStopsInOutageTest, AnotherPeerTellsTheSuccessor) {
   BeginOutage();
   peers.Detach("b:7000");
--- a/unittests/Partition/EarlierLeasesTest.cc
+++ b/unittests/Partition/EarlierLeasesTest.cc
@@ -26,6 +26,14 @@
   EXPECT_EQ(leases.EndOn(kWorker), kBegan + Millis(1000));
 }
 
+TEST_F(EarlierLeasesTest, LongerUsualLeasesOfThePreviousOwnerCount) {
+  leases.NotePreviousEnded(kBegan, {.term = 1,
+                                    .ended_ago = Millis(3000),
+                                    .long_leases = LongLeases(),
+                                    .usual_lease = Millis(6000)});
+  EXPECT_EQ(leases.EndOn(kWorker), kBegan + Millis(3000));
+}
+
 TEST_F(EarlierLeasesTest, NothingIsAwaitedOfATermThatEndedLongAgo) {
   leases.NotePreviousEnded(
       kBegan,
--- a/unittests/Partition/StoredStartsTest.cc
+++ b/unittests/Partition/StoredStartsTest.cc
@@ -225,6 +225,22 @@
   EXPECT_EQ(Running(), 1);
 }
 
+TEST_F(StoredStartsTest, ARecordIsCompletedThoughASilentWorkerIsNeverRead) {
+  SetUpJob(/*workers=*/3, /*tasks=*/2);
+  const std::vector<std::string> workers = StoredWorkers();
+  Json progress = StoredProgress();
+  progress.erase("w");
+  StoreProgress(progress);
+  sim.starts_stored_since = 2;
+  for (const std::string& id : sim.fleet.AliveWorkerIds()) {
+    if (sim.fleet.Find(id)->running.empty()) Silence(id);
+  }
+  sim.BeginTerm();
+  sim.Run(kEarlierLeases + kBriefly);
+  ASSERT_TRUE(StoredProgress().contains("w"));
+  EXPECT_EQ(StoredWorkers(), workers);
+}
+
 TEST_F(StoredStartsTest, AnAdoptedRunOnAnotherWorkerIsStored) {
   SetUpJob(/*workers=*/3, /*tasks=*/1);
   const std::string worker = WorkerOfFirstTask();
