Tell of an ended term also peers whose registration has just lapsed

An owner that stopped just after an outage told nobody how its term ended: the peers' registrations had lapsed with their leases, and its table of peers was empty (found by review). Addresses are kept for 5 s.

Evidence: OwnerStopsInOutageTest.APeerThatHasNotRegisteredAgainYetIsTold passes; not run without the change.

--- a/include/basilusher/Node/NodeAgent.h
+++ b/include/basilusher/Node/NodeAgent.h
@@ -110,6 +110,9 @@
   /// Asks all peers until the end of the term before is known, or the leases
   /// from then are over.
   void AskPeersForPreviousEnd();
+  /// Addresses of the peers that are registered or were so shortly before:
+  /// after an outage of the store live nodes register anew.
+  std::map<std::string, std::string> RecentPeers() const;
   /// How `term` ended, as seen now; nothing if that is not known here.
   std::optional<EndedTerm> EndOf(std::int64_t term) const;
   /// Keeps the end of the latest ended term, and tells the owner.
@@ -137,6 +140,12 @@
   OwnerView earlier_owner_;
   std::map<std::string, std::string> peers_;
   std::map<std::string, double> peer_strengths_;
+  /// A peer whose registration has ended at the store, and when.
+  struct FormerPeer {
+    std::string address;
+    TimePoint left_at{};
+  };
+  std::map<std::string, FormerPeer> former_peers_;
   std::map<std::int64_t, MaintenanceWave> waves_;
   std::int64_t term_ = 0;
   /// The last term that this process does not hold any more, or never will.
--- a/lib/Node/NodeAgent.cc
+++ b/lib/Node/NodeAgent.cc
@@ -151,9 +151,15 @@
     if (node == options_.node) return;
     if (document.is_object()) {
       peers_[node] = FieldOr(document, "address", std::string());
+      former_peers_.erase(node);
       peer_strengths_[node] = FieldOr(document, "strength", 0.0);
     } else {
-      peers_.erase(node);
+      const auto peer = peers_.find(node);
+      if (peer != peers_.end()) {
+        former_peers_[node] = {.address = peer->second,
+                               .left_at = ports_.clock->Now()};
+        peers_.erase(peer);
+      }
       peer_strengths_.erase(node);
     }
   }
@@ -289,7 +295,7 @@
   const EndedTerm ended = owner_->DescribeEnd();
   owner_.reset();
   NoteEndedTerm(ended);
-  ended_term_notifier_->Send(ended, peers_);
+  ended_term_notifier_->Send(ended, RecentPeers());
   if (owner_view_.incarnation == options_.incarnation) {
     earlier_owner_ = owner_view_;
     owner_view_ = {};
--- a/lib/Node/NodeAgentTerms.cc
+++ b/lib/Node/NodeAgentTerms.cc
@@ -11,6 +11,8 @@
 
 constexpr Millis kAskTimeout{400};
 constexpr Millis kAskRetry{400};
+/// Longer than it takes live nodes to register again after an outage.
+constexpr Millis kFormerPeerTime{5000};
 
 }  // namespace
 
@@ -85,6 +87,16 @@
   });
 }
 
+std::map<std::string, std::string> NodeAgent::RecentPeers() const {
+  std::map<std::string, std::string> recent = peers_;
+  for (const auto& [node, former] : former_peers_) {
+    if (ports_.clock->Now() - former.left_at < kFormerPeerTime) {
+      recent.try_emplace(node, former.address);
+    }
+  }
+  return recent;
+}
+
 std::optional<EndedTerm> NodeAgent::EndOf(std::int64_t term) const {
   if (!last_end_ || last_end_->term != term) return std::nullopt;
   return Aged(*last_end_, ports_.clock->Now() - last_end_at_);
