Tell with the end of a term the usual lease of its owner

The hearer counted leases of the term before by its own setting; one that was shortened between the two terms gave too short a bound (found by review).

Evidence: EarlierLeasesTest.LongerUsualLeasesOfThePreviousOwnerCount passes; not run without the change.

--- a/include/basilusher/Partition/EarlierLeases.h
+++ b/include/basilusher/Partition/EarlierLeases.h
@@ -50,7 +50,7 @@
 
  private:
   /// The previous owner has given no lease since `ended_at`.
-  void NoteLeasesOfPrevious(TimePoint now, TimePoint ended_at,
+  void NoteLeasesOfPrevious(TimePoint now, TimePoint ended_at, Millis usual,
                             const std::optional<LongLeases>& long_leases);
   void Shorten();
 
--- a/include/basilusher/Partition/EndedTerm.h
+++ b/include/basilusher/Partition/EndedTerm.h
@@ -25,6 +25,8 @@
   /// Leases that may last longer than if they had been renewed at the end;
   /// nothing if they are not known.
   std::optional<LongLeases> long_leases;
+  /// Duration of the leases that the owner usually gave.
+  Millis usual_lease{0};
   /// Longest time for which leases of owners before this one may last on
   /// workers that it had not read. Zero if it had read all.
   Millis earlier_left{0};
--- a/lib/Partition/EarlierLeases.cc
+++ b/lib/Partition/EarlierLeases.cc
@@ -11,22 +11,24 @@
 
 void EarlierLeases::NotePreviousStopped(
     TimePoint now, const std::optional<LongLeases>& long_leases) {
-  NoteLeasesOfPrevious(now, now, long_leases);
+  NoteLeasesOfPrevious(now, now, limits_.usual, long_leases);
   Shorten();
 }
 
 void EarlierLeases::NotePreviousEnded(TimePoint now, const EndedTerm& ended) {
-  NoteLeasesOfPrevious(now, now - ended.ended_ago, ended.long_leases);
+  // The settings may have changed between the two terms.
+  NoteLeasesOfPrevious(now, now - ended.ended_ago,
+                       std::max(limits_.usual, ended.usual_lease),
+                       ended.long_leases);
   const TimePoint end = now + ended.earlier_left;
   end_before_previous_ = std::min(end_before_previous_.value_or(end), end);
   Shorten();
 }
 
 void EarlierLeases::NoteLeasesOfPrevious(
-    TimePoint now, TimePoint ended_at,
+    TimePoint now, TimePoint ended_at, Millis usual,
     const std::optional<LongLeases>& long_leases) {
-  const TimePoint end =
-      ended_at + (long_leases ? limits_.usual : limits_.longest);
+  const TimePoint end = ended_at + (long_leases ? usual : limits_.longest);
   end_if_only_previous_ = std::min(end_if_only_previous_.value_or(end), end);
   for (const auto& [worker, left] : long_leases.value_or(LongLeases())) {
     const auto [it, added] = long_lease_ends_.try_emplace(worker, now + left);
--- a/lib/Partition/EndedTerm.cc
+++ b/lib/Partition/EndedTerm.cc
@@ -16,6 +16,7 @@
 constexpr const char* kEndedAgoField = "ended_ago_ms";
 constexpr const char* kLongLeasesField = "long_leases";
 constexpr const char* kEarlierLeftField = "earlier_left_ms";
+constexpr const char* kUsualLeaseField = "usual_lease_ms";
 
 std::optional<Millis> DecodeDuration(const Json& value) {
   const std::optional<std::int64_t> ms = IntegerOf(value);
@@ -78,6 +79,7 @@
   const std::int64_t ago = std::min(ended.ended_ago.count(), kMaxReportedMs);
   Json out = {{kTermField, ended.term},
               {kEndedAgoField, ago},
+              {kUsualLeaseField, ended.usual_lease.count()},
               {kEarlierLeftField, ended.earlier_left.count()}};
   if (ended.long_leases) {
     out[kLongLeasesField] = EncodeLongLeases(*ended.long_leases);
@@ -91,9 +93,11 @@
   const std::optional<Millis> ago = DurationIn(in, kEndedAgoField);
   const std::optional<Millis> left = DurationIn(in, kEarlierLeftField);
   if (term <= 0 || !ago || !left) return std::nullopt;
+  const Millis usual = DurationIn(in, kUsualLeaseField).value_or(Millis(0));
   EndedTerm ended{.term = term,
                   .ended_ago = ShortestHere(*ago),
                   .long_leases = DecodeLongLeases(in),
+                  .usual_lease = LongestHere(usual),
                   .earlier_left = LongestHere(*left)};
   if (ended.long_leases) {
     for (auto& [worker, left_there] : *ended.long_leases) {
--- a/lib/Partition/OwnerReconciliation.cc
+++ b/lib/Partition/OwnerReconciliation.cc
@@ -103,7 +103,9 @@
 
 EndedTerm PartitionOwner::DescribeEnd() const {
   assert(closed_ && "an owner that may still give leases has not ended");
-  EndedTerm ended{.term = options_.term, .long_leases = FindLongLeases()};
+  EndedTerm ended{.term = options_.term,
+                  .long_leases = FindLongLeases(),
+                  .usual_lease = LeaseBound(options_.task_lease)};
   const bool read_all = loaded_ && fully_read_term_ == options_.term;
   if (!read_all) {
     ended.earlier_left =
