Count a start in flight among the leases that an ended term may leave

A start that an owner had sent as it ended its term could be carried out late by the worker's next incarnation, with a lease of up to 10 s by the clock before. For such a worker the full bound now holds, as if the owner had told nothing.

Evidence: StoredStartsTest.ALateStartOnTheNextIncarnationOutlastsAnEndedTerm: duplicate execution before, passes with the change.

--- a/include/basilusher/Partition/WorkerLink.h
+++ b/include/basilusher/Partition/WorkerLink.h
@@ -137,6 +137,9 @@
   /// Latest time at which a run started so far may still be running; zero if no
   /// lease can be valid.
   TimePoint LeaseEnd() const { return lease_end_; }
+  /// True if a start may still be carried out, also by another incarnation,
+  /// whose clock began anew.
+  bool HasUnsettledStart() const { return unanswered_starts_ > 0 || settling_; }
   /// LeaseEnd() when all runs were last taken for ended; zero if they never
   /// were, or had no lease.
   TimePoint LostLeaseEnd() const { return lost_lease_end_; }
@@ -189,6 +192,7 @@
   bool renewing_ = true;
   bool synced_ = false;
   bool settling_ = false;
+  int unanswered_starts_ = 0;
   bool silent_ = false;
   bool poll_in_flight_ = false;
   bool poll_scheduled_ = false;
--- a/lib/Partition/OwnerReconciliation.cc
+++ b/lib/Partition/OwnerReconciliation.cc
@@ -128,7 +128,13 @@
     Millis& left = leases[id];
     left = std::max(left, until - now);
   };
-  for (const auto& [id, worker] : workers_) add(id, worker->link->LeaseEnd());
+  for (const auto& [id, worker] : workers_) {
+    add(id, worker->link->LeaseEnd());
+    if (worker->link->HasUnsettledStart()) {
+      add(id, now + options_.earlier_owner_grace +
+                  LeaseBound(options_.max_task_lease));
+    }
+  }
   for (const auto& [id, end] : earlier_leases_.LongLeaseEnds()) add(id, end);
   return leases;
 }
--- a/lib/Partition/WorkerLink.cc
+++ b/lib/Partition/WorkerLink.cc
@@ -274,11 +274,13 @@
                        std::function<void(CommandResult)> done) {
   order.fence = fence_;
   order.lease_worker_ms = RenewLease();
+  ++unanswered_starts_;
   gateway_->Start(
       address_, order,
       [self = shared_from_this(), fence = fence_, lease = order.lease_worker_ms,
        earliest = EarliestClockMs(), incarnation = incarnation_,
        done = std::move(done)](const StartAnswer& answer) {
+        --self->unanswered_starts_;
         if (self->closed_) return;
         done(answer.result);
         if (incarnation == self->incarnation_) {
