--- a/lib/Partition/OwnerReconciliation.cc
+++ b/lib/Partition/OwnerReconciliation.cc
@@ -103,7 +103,9 @@
 
 EndedTerm PartitionOwner::DescribeEnd() const {
   assert(closed_ && "an owner that may still give leases has not ended");
-  EndedTerm ended{.term = options_.term, .long_leases = FindLongLeases()};
+  EndedTerm ended{.term = options_.term,
+                  .long_leases = FindLongLeases(),
+                  .usual_lease = LeaseBound(options_.task_lease)};
   const bool read_all = loaded_ && fully_read_term_ == options_.term;
   if (!read_all) {
     ended.earlier_left =
@@ -126,7 +128,13 @@
     Millis& left = leases[id];
     left = std::max(left, until - now);
   };
-  for (const auto& [id, worker] : workers_) add(id, worker->link->LeaseEnd());
+  for (const auto& [id, worker] : workers_) {
+    add(id, worker->link->LeaseEnd());
+    if (worker->link->HasUnsettledStart()) {
+      add(id, now + options_.earlier_owner_grace +
+                  LeaseBound(options_.max_task_lease));
+    }
+  }
   for (const auto& [id, end] : earlier_leases_.LongLeaseEnds()) add(id, end);
   return leases;
 }
