Move the report of waits out of the owner's class; name the events of ended terms

OwnerWaitReport keeps what it has logged and reads the owner; the owner's header is shorter. The events ended-term-sent, -heard and -malformed were term-word-*. The wait of held starts is told once.

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -21,8 +21,8 @@
 #include "basilusher/Partition/EarlierLeases.h"
 #include "basilusher/Partition/OwnerOptions.h"
 #include "basilusher/Partition/OwnerState.h"
+#include "basilusher/Partition/OwnerWaitReport.h"
 #include "basilusher/Partition/Recorder.h"
-#include "basilusher/Partition/TaskWaits.h"
 #include "basilusher/Schedule/AdviceCache.h"
 #include "basilusher/Schedule/PoolPlan.h"
 #include "basilusher/Schedule/WavePlan.h"
@@ -101,6 +101,8 @@
   bool RecordsIdle() const { return recorder_->Idle(); }
 
  private:
+  friend class OwnerWaitReport;
+
   struct FinalRecord {
     JobStatus status;
     TimePoint stored_at{};
@@ -468,24 +470,6 @@
   void ReportTakeOverWait();
   void LogRunStart(const JobRecord& job, const TaskId& id, std::int64_t run,
                    const WorkerState& worker) const;
-  // OwnerWaits.cc: why lasting tasks wait.
-  /// Logs the lasting tasks that have waited for long, with what holds them,
-  /// and those of them that run again.
-  void ReportWaits();
-  void NoteWaitsOf(const JobRecord& job, int occurrence, int step);
-  /// Sets what a waiting task has in common with those of its step.
-  WaitFacts WaitFactsOf(const JobRecord& job, int occurrence, int step) const;
-  /// Sets what is known of the task alone.
-  void AddWaitFacts(const JobRecord& job, const StepSpec& step,
-                    const TaskRecord& task, WaitFacts* facts) const;
-  EligibleWorkers CountEligible(const JobRecord& job, int occurrence,
-                                int step) const;
-  void LogDueWaits();
-  void LogWait(const TaskId& id, TaskWaits::Wait* wait);
-  void LogWaitEnded(const TaskId& id, const TaskWaits::Wait& wait);
-  void SetWaitGauges();
-  void ClearWaitGauges();
-
   /// Logs the first evidence and tells the listener.
   void OnDeposed(const Deposal& deposal);
   void OnFenced(const std::string& worker);
@@ -538,13 +522,7 @@
   /// as logged; zero if none waits.
   TimePoint take_over_wait_since_{};
   TimePoint take_over_wait_until_{};
-  TaskWaits task_waits_;
-  TimePoint waits_reported_at_{};
-  /// Lines about waits that this second may still have, and those left out.
-  int wait_lines_left_ = 0;
-  int wait_lines_omitted_ = 0;
-  /// Number of tasks in the last report, by what holds them.
-  std::map<WaitCondition, std::int64_t> held_tasks_;
+  OwnerWaitReport wait_report_{this};
   std::optional<Deposal> deposal_;
   std::map<std::string, Instance> instances_;
   /// When the list of `instances_` was asked for.
--- a/lib/Node/EndedTermNotifier.cc
+++ b/lib/Node/EndedTermNotifier.cc
@@ -59,7 +59,7 @@
   if (round->finished) return;
   round->finished = true;
   --rounds_;
-  LogEvent(LogLevel::kInfo, "term-word-sent",
+  LogEvent(LogLevel::kInfo, "ended-term-sent",
            {{"term", round->ended.term},
             {"peers", round->peers},
             {"answered", round->peers - round->unanswered.size()},
--- a/lib/Node/NodeAgentTerms.cc
+++ b/lib/Node/NodeAgentTerms.cc
@@ -134,10 +134,10 @@
   const std::optional<EndedTerm> ended =
       DecodeEndedTerm(message.value("ended_term", Json()));
   if (!ended) {
-    LogEvent(LogLevel::kWarning, "term-word-malformed", {{"from", from}});
+    LogEvent(LogLevel::kWarning, "ended-term-malformed", {{"from", from}});
     return std::nullopt;
   }
-  LogEvent(LogLevel::kInfo, "term-word-heard",
+  LogEvent(LogLevel::kInfo, "ended-term-heard",
            {{"term", ended->term},
             {"from", from},
             {"ended_ago_ms", ended->ended_ago.count()},
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -78,7 +78,7 @@
     DropKeptJobs();
     FindStragglers();
     Dispatch();
-    ReportWaits();
+    wait_report_.Report();
   } else {
     CheckLoading();
   }
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -118,7 +118,7 @@
 void PartitionOwner::Close() {
   if (closed_) return;
   closed_ = true;
-  ClearWaitGauges();
+  wait_report_.Clear();
   recorder_->Close();
   if (inbox_ != nullptr) inbox_->Close();
   if (directory_ != nullptr) directory_->Close();
--- a/lib/Partition/OwnerSuspectStarts.cc
+++ b/lib/Partition/OwnerSuspectStarts.cc
@@ -72,12 +72,15 @@
     const HeldStart& held = it->second;
     const bool late = now - held.since >=
                       (held.lasting ? kMaxLastingStoreWait : kMaxStoreWait);
-    if (held.lasting && !held.stored && !late) {
+    const bool waits_for_store = !held.stored && !late;
+    // Its worker may not be ready for a moment, as other starts there are on
+    // their way.
+    if (waits_for_store && held.lasting) {
       ++it;
       continue;
     }
     const bool may_start = MayStillStart(held);
-    if (may_start && !held.stored && !late) {
+    if (may_start && waits_for_store) {
       ++it;
       continue;
     }
--- a/lib/Partition/OwnerWaits.cc
+++ b/lib/Partition/OwnerWaitReport.cc
@@ -1,5 +1,4 @@
-// Log lines and metrics that tell why a lasting task waits: which condition of
-// its placement holds it, and since when.
+// Why lasting tasks wait: the facts of each, log lines and metrics.
 #include <algorithm>
 #include <iterator>
 #include <vector>
@@ -47,14 +46,14 @@
 
 }  // namespace
 
-void PartitionOwner::ReportWaits() {
-  const TimePoint now = deps_.clock->Now();
-  if (now - waits_reported_at_ < kReportPeriod) return;
-  waits_reported_at_ = now;
-  wait_lines_left_ = kMaxWaitLines;
-  wait_lines_omitted_ = 0;
-  task_waits_.BeginRound();
-  for (const auto& [id, job] : jobs_.All()) {
+void OwnerWaitReport::Report() {
+  const TimePoint now = owner_->deps_.clock->Now();
+  if (now - reported_at_ < kReportPeriod) return;
+  reported_at_ = now;
+  lines_left_ = kMaxWaitLines;
+  lines_omitted_ = 0;
+  waits_.BeginRound();
+  for (const auto& [id, job] : owner_->jobs_.All()) {
     if (IsFinal(job->state)) continue;
     for (const auto& [number, occurrence] : job->occurrences) {
       for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
@@ -63,14 +62,14 @@
       }
     }
   }
-  task_waits_.EndRound();
+  waits_.EndRound();
   LogDueWaits();
-  SetWaitGauges();
+  SetGauges();
 }
 
-void PartitionOwner::NoteWaitsOf(const JobRecord& job, int occurrence,
-                                 int step) {
-  const TimePoint now = deps_.clock->Now();
+void OwnerWaitReport::NoteWaitsOf(const JobRecord& job, int occurrence,
+                                  int step) {
+  const TimePoint now = owner_->deps_.clock->Now();
   const StepSpec& spec = job.spec.steps[static_cast<std::size_t>(step)];
   const StepRecord& record =
       job.occurrences.at(occurrence).steps[static_cast<std::size_t>(step)];
@@ -79,80 +78,83 @@
   for (id.index = 0; id.index < spec.count; ++id.index) {
     const TaskRecord& task = record.tasks[static_cast<std::size_t>(id.index)];
     if (!Waits(task)) {
-      const std::optional<TaskWaits::Wait> ended = task_waits_.End(id);
+      const std::optional<TaskWaits::Wait> ended = waits_.End(id);
       if (ended && ended->logged_at != TimePoint{}) LogWaitEnded(id, *ended);
       continue;
     }
     TaskWaits::Wait* wait =
-        task_waits_.Note(id, task.run, task.started_at != TimePoint{}, now);
+        waits_.Note(id, task.run, task.started_at != TimePoint{}, now);
     if (now - wait->since < kWaitReported) continue;
-    if (!common) common = WaitFactsOf(job, occurrence, step);
+    if (!common) common = FactsOf(job, occurrence, step);
     WaitFacts facts = *common;
     // Placement of a step begins at its first waiting task.
     if (!spec.gang && id.index < record.first_waiting) {
       facts.counted_as_waiting = false;
     }
-    AddWaitFacts(job, spec, task, &facts);
+    AddFacts(job, spec, task, &facts);
     wait->condition = ConditionOf(facts);
   }
 }
 
-WaitFacts PartitionOwner::WaitFactsOf(const JobRecord& job, int occurrence,
-                                      int step) const {
-  const TimePoint now = deps_.clock->Now();
+WaitFacts OwnerWaitReport::FactsOf(const JobRecord& job, int occurrence,
+                                   int step) const {
+  const TimePoint now = owner_->deps_.clock->Now();
   const StepSpec& spec = job.spec.steps[static_cast<std::size_t>(step)];
   const OccurrenceRecord& steps = job.occurrences.at(occurrence);
   const StepRecord& record = steps.steps[static_cast<std::size_t>(step)];
   WaitFacts facts;
   facts.counted_as_waiting =
       record.done + record.active < static_cast<int>(record.tasks.size());
-  facts.owner_may_start = MayStart();
-  facts.loop_late = held_since_ != TimePoint{};
-  facts.view_stale = ViewIsStale();
-  facts.queue_configured = QueueOf(job) != nullptr;
+  facts.owner_may_start = owner_->MayStart();
+  facts.loop_late = owner_->held_since_ != TimePoint{};
+  facts.view_stale = owner_->ViewIsStale();
+  facts.queue_configured = owner_->QueueOf(job) != nullptr;
   facts.step_ready = StepReady(job, steps, step);
-  facts.term_confirmed = TermIsConfirmed();
-  facts.may_be_orphaned = MayHaveOrphanedRuns(job);
-  facts.earlier_lease_may_last =
-      std::any_of(unread_workers_.begin(), unread_workers_.end(),
-                  [this, now](const std::string& id) {
-                    return now < earlier_leases_.EndOn(id);
-                  });
+  facts.term_confirmed = owner_->TermIsConfirmed();
+  facts.may_be_orphaned = owner_->MayHaveOrphanedRuns(job);
+  facts.earlier_lease_may_last = std::any_of(
+      owner_->unread_workers_.begin(), owner_->unread_workers_.end(),
+      [this, now](const std::string& id) {
+        return now < owner_->earlier_leases_.EndOn(id);
+      });
   facts.in_gang = spec.gang;
   facts.gang_member_held =
-      spec.gang && std::any_of(record.tasks.begin(), record.tasks.end(),
-                               [&](const TaskRecord& task) {
-                                 return task.state != TaskState::kWaiting ||
-                                        !TaskMayStart(spec, task) ||
-                                        (facts.may_be_orphaned &&
-                                         AwaitsOrphanedRun(job, spec, task));
-                               });
-  facts.within_cap = WithinCap(job, spec.need * (spec.gang ? spec.count : 1));
+      spec.gang &&
+      std::any_of(record.tasks.begin(), record.tasks.end(),
+                  [&](const TaskRecord& task) {
+                    return task.state != TaskState::kWaiting ||
+                           !owner_->TaskMayStart(spec, task) ||
+                           (facts.may_be_orphaned &&
+                            owner_->AwaitsOrphanedRun(job, spec, task));
+                  });
+  facts.within_cap =
+      owner_->WithinCap(job, spec.need * (spec.gang ? spec.count : 1));
   if (facts.queue_configured) {
     facts.workers = CountEligible(job, occurrence, step);
   }
   return facts;
 }
 
-void PartitionOwner::AddWaitFacts(const JobRecord& job, const StepSpec& step,
-                                  const TaskRecord& task,
-                                  WaitFacts* facts) const {
-  const TimePoint now = deps_.clock->Now();
+void OwnerWaitReport::AddFacts(const JobRecord& job, const StepSpec& step,
+                               const TaskRecord& task, WaitFacts* facts) const {
+  const TimePoint now = owner_->deps_.clock->Now();
   facts->start_held = task.start_held;
   facts->start_sent = task.state == TaskState::kStarting && !task.start_held;
-  facts->given_up = IsSuspect(task) && MustGiveUp(step, task);
+  facts->given_up =
+      PartitionOwner::IsSuspect(task) && PartitionOwner::MustGiveUp(step, task);
   facts->in_retry_delay = now < task.not_before;
-  facts->suspected = IsSuspect(task);
+  facts->suspected = PartitionOwner::IsSuspect(task);
   facts->end_unreported = task.ended_unreported;
-  facts->loss_unconfirmed = IsSuspect(task) && now < task.unconfirmed_until;
-  // The last of the conditions of TaskMayStart().
-  facts->evidence_unstored = !TaskMayStart(step, task);
+  facts->loss_unconfirmed =
+      PartitionOwner::IsSuspect(task) && now < task.unconfirmed_until;
+  // The last of the conditions of owner_->TaskMayStart().
+  facts->evidence_unstored = !owner_->TaskMayStart(step, task);
   facts->may_be_orphaned =
-      facts->may_be_orphaned && AwaitsOrphanedRun(job, step, task);
+      facts->may_be_orphaned && owner_->AwaitsOrphanedRun(job, step, task);
 }
 
-EligibleWorkers PartitionOwner::CountEligible(const JobRecord& job,
-                                              int occurrence, int step) const {
+EligibleWorkers OwnerWaitReport::CountEligible(const JobRecord& job,
+                                               int occurrence, int step) const {
   const StepSpec& spec = job.spec.steps[static_cast<std::size_t>(step)];
   std::map<std::string, int> siblings;
   for (const TaskRecord& task : job.occurrences.at(occurrence)
@@ -165,9 +167,10 @@
   PlacementRequest by_label;
   by_label.step = &without_limit;
   PlacementRequest by_ticket = by_label;
-  if (NeedsAdvice(job)) {
-    RequireTickets({.job = job.spec.id, .occurrence = occurrence, .step = step},
-                   &by_ticket);
+  if (owner_->NeedsAdvice(job)) {
+    owner_->RequireTickets(
+        {.job = job.spec.id, .occurrence = occurrence, .step = step},
+        &by_ticket);
   }
   PlacementRequest by_all = by_ticket;
   by_all.step = &spec;
@@ -176,10 +179,10 @@
     return it == siblings.end() ? 0 : it->second;
   };
   EligibleWorkers eligible;
-  const std::string& pool = QueueOf(job)->pool;
-  for (const auto& [id, worker] : workers_) {
+  const std::string& pool = owner_->QueueOf(job)->pool;
+  for (const auto& [id, worker] : owner_->workers_) {
     const WorkerCapacity& capacity = worker->capacity;
-    if (capacity.pool != pool || !Usable(*worker)) continue;
+    if (capacity.pool != pool || !owner_->Usable(*worker)) continue;
     ++eligible.usable;
     if (!Fits(Charge(spec), capacity.room - capacity.used)) continue;
     ++eligible.with_room;
@@ -194,11 +197,11 @@
   return eligible;
 }
 
-void PartitionOwner::LogDueWaits() {
-  const TimePoint now = deps_.clock->Now();
+void OwnerWaitReport::LogDueWaits() {
+  const TimePoint now = owner_->deps_.clock->Now();
   using Entry = std::pair<const TaskId, TaskWaits::Wait>;
   std::vector<Entry*> due;
-  for (Entry& entry : task_waits_.All()) {
+  for (Entry& entry : waits_.All()) {
     if (IsDue(entry.second, now)) due.push_back(&entry);
   }
   // Those that were never logged come first, so that each has its turn.
@@ -206,43 +209,43 @@
     return a->second.logged_at < b->second.logged_at;
   });
   for (Entry* entry : due) LogWait(entry->first, &entry->second);
-  if (wait_lines_omitted_ == 0) return;
+  if (lines_omitted_ == 0) return;
   LogEvent(LogLevel::kWarning, "task-waits-omitted",
-           {{"term", options_.term}, {"count", wait_lines_omitted_}});
+           {{"term", owner_->options_.term}, {"count", lines_omitted_}});
 }
 
-void PartitionOwner::LogWait(const TaskId& id, TaskWaits::Wait* wait) {
-  if (wait_lines_left_ == 0) {
-    ++wait_lines_omitted_;
+void OwnerWaitReport::LogWait(const TaskId& id, TaskWaits::Wait* wait) {
+  if (lines_left_ == 0) {
+    ++lines_omitted_;
     return;
   }
-  --wait_lines_left_;
-  const TimePoint now = deps_.clock->Now();
+  --lines_left_;
+  const TimePoint now = owner_->deps_.clock->Now();
   wait->logged_at = now;
   wait->logged_condition = wait->condition;
   const LogLevel level = LevelOf(*wait, now);
   if (!LogsAt(level)) return;
-  const JobRecord* job = jobs_.Find(id.job);
-  const TaskRecord* task = jobs_.FindTask(id);
-  Json fields = {
-      {"task", FormatTaskId(id)},
-      {"queue", job->spec.queue},
-      {"term", options_.term},
-      {"waited_ms", (now - wait->since).count()},
-      {"condition", NameOf(kWaitConditionNames, wait->condition)},
-      {"run", task->run},
-      {"crashes", task->crashes.runs.size()},
-      {"inherited", job->inherited},
-      {"unread", unread_workers_.size()},
-      {"confirmed_for_ms", (listener_.confirmed_until() - now).count()}};
-  if (!unread_workers_.empty()) {
+  const JobRecord* job = owner_->jobs_.Find(id.job);
+  const TaskRecord* task = owner_->jobs_.FindTask(id);
+  Json fields = {{"task", FormatTaskId(id)},
+                 {"queue", job->spec.queue},
+                 {"term", owner_->options_.term},
+                 {"waited_ms", (now - wait->since).count()},
+                 {"condition", NameOf(kWaitConditionNames, wait->condition)},
+                 {"run", task->run},
+                 {"crashes", task->crashes.runs.size()},
+                 {"inherited", job->inherited},
+                 {"unread", owner_->unread_workers_.size()},
+                 {"confirmed_for_ms",
+                  (owner_->listener_.confirmed_until() - now).count()}};
+  if (!owner_->unread_workers_.empty()) {
     TimePoint until{};
-    for (const std::string& worker : unread_workers_) {
-      until = std::max(until, earlier_leases_.EndOn(worker));
+    for (const std::string& worker : owner_->unread_workers_) {
+      until = std::max(until, owner_->earlier_leases_.EndOn(worker));
     }
     fields["leases_end_in_ms"] = (until - now).count();
   }
-  if (QueueOf(*job) != nullptr) {
+  if (owner_->QueueOf(*job) != nullptr) {
     const EligibleWorkers workers = CountEligible(*job, id.occurrence, id.step);
     fields["usable"] = workers.usable;
     fields["with_room"] = workers.with_room;
@@ -251,47 +254,49 @@
   LogEvent(level, "task-waits", fields);
 }
 
-void PartitionOwner::LogWaitEnded(const TaskId& id,
-                                  const TaskWaits::Wait& wait) {
-  if (wait_lines_left_ == 0) {
-    ++wait_lines_omitted_;
+void OwnerWaitReport::LogWaitEnded(const TaskId& id,
+                                   const TaskWaits::Wait& wait) {
+  if (lines_left_ == 0) {
+    ++lines_omitted_;
     return;
   }
-  --wait_lines_left_;
-  const TimePoint now = deps_.clock->Now();
-  const TaskRecord* task = jobs_.FindTask(id);
+  --lines_left_;
+  const TimePoint now = owner_->deps_.clock->Now();
+  const TaskRecord* task = owner_->jobs_.FindTask(id);
   LogEvent(LogLevel::kInfo, "task-wait-ended",
            {{"task", FormatTaskId(id)},
-            {"term", options_.term},
+            {"term", owner_->options_.term},
             {"run", task->run},
             {"worker", task->worker},
             {"waited_ms", (now - wait.since).count()},
             {"condition", NameOf(kWaitConditionNames, wait.condition)}});
 }
 
-void PartitionOwner::SetWaitGauges() {
-  if (deps_.counters == nullptr) return;
-  const TimePoint now = deps_.clock->Now();
+void OwnerWaitReport::SetGauges() {
+  if (owner_->deps_.counters == nullptr) return;
+  const TimePoint now = owner_->deps_.clock->Now();
   Millis longest{0};
   for (auto& [condition, tasks] : held_tasks_) tasks = 0;
-  for (const auto& [id, wait] : task_waits_.All()) {
+  for (const auto& [id, wait] : waits_.All()) {
     longest =
         std::max(longest, std::chrono::duration_cast<Millis>(now - wait.since));
     if (now - wait.since >= kWaitReported) ++held_tasks_[wait.condition];
   }
-  deps_.counters->Set("lasting_tasks_waiting", std::ssize(task_waits_.All()));
-  deps_.counters->Set("lasting_tasks_waiting_longest_ms", longest.count());
+  owner_->deps_.counters->Set("lasting_tasks_waiting",
+                              std::ssize(waits_.All()));
+  owner_->deps_.counters->Set("lasting_tasks_waiting_longest_ms",
+                              longest.count());
   for (const auto& [condition, tasks] : held_tasks_) {
-    deps_.counters->Set(HeldGauge(condition), tasks);
+    owner_->deps_.counters->Set(HeldGauge(condition), tasks);
   }
 }
 
-void PartitionOwner::ClearWaitGauges() {
-  if (deps_.counters == nullptr) return;
-  deps_.counters->Set("lasting_tasks_waiting", 0);
-  deps_.counters->Set("lasting_tasks_waiting_longest_ms", 0);
+void OwnerWaitReport::Clear() {
+  if (owner_->deps_.counters == nullptr) return;
+  owner_->deps_.counters->Set("lasting_tasks_waiting", 0);
+  owner_->deps_.counters->Set("lasting_tasks_waiting_longest_ms", 0);
   for (const auto& [condition, tasks] : held_tasks_) {
-    deps_.counters->Set(HeldGauge(condition), 0);
+    owner_->deps_.counters->Set(HeldGauge(condition), 0);
   }
 }
 
