Keep keys that are newer than the list that does not show them

After lost history a watcher lists its prefix again and reported every key that the list did not show as removed. A list of a state before a key was written does not show it either, so what had just been written was taken for removed. Such a key is kept if its revision is above that of the list.

Evidence: StoreWatcherTest.AListOfAnOlderStateRemovesNothingThatIsNewer passes.

--- a/lib/Store/StoreWatcher.cc
+++ b/lib/Store/StoreWatcher.cc
@@ -110,7 +110,10 @@
     }
     std::vector<std::string> gone;
     for (const auto& [key, revision] : self->revisions_) {
-      if (!present.contains(key)) gone.push_back(key);
+      // A list of an older state does not show what was written after it.
+      if (!present.contains(key) && revision <= answer.revision) {
+        gone.push_back(key);
+      }
     }
     for (const std::string& key : gone) {
       self->Report({.key = key, .value = {}, .removed = true});
--- a/unittests/Partition/StoreWatcherTest.cc
+++ b/unittests/Partition/StoreWatcherTest.cc
@@ -64,5 +64,35 @@
   EXPECT_THAT(reported, testing::ElementsAre("+w/a", "+w/b", "-w/a"));
 }
 
+/// Guards against a list of an older state, after lost history, that ends what
+/// was written after that state.
+TEST(StoreWatcherTest, AListOfAnOlderStateRemovesNothingThatIsNewer) {
+  SimTimers timers;
+  ScriptedStore store(&timers);
+  store.list.revision = 10;
+  store.list.items = {{.key = "w/a", .value = "1", .revision = 3},
+                      {.key = "w/c", .value = "1", .revision = 4}};
+  store.watch.revision = 12;
+  store.watch.items = {{.key = "w/b", .value = "2", .revision = 12}};
+  std::vector<std::string> reported;
+  const std::shared_ptr<StoreWatcher> watcher = std::make_shared<StoreWatcher>(
+      &store, &timers, &timers,
+      StoreWatcherOptions{.prefix = "w/", .wait = Millis(50)},
+      StoreWatcher::Listener{.on_item =
+                                 [&reported](const StoredItem& item) {
+                                   reported.push_back(
+                                       (item.removed ? "-" : "+") + item.key);
+                                 },
+                             .on_loaded = {}});
+  watcher->Begin();
+  timers.Run(Millis(20));
+  store.list.revision = 11;
+  store.list.items.pop_back();
+  store.watch = {.status = TxnStatus::kCompacted};
+  timers.Run(Millis(200));
+  watcher->Close();
+  EXPECT_THAT(reported, testing::ElementsAre("+w/a", "+w/c", "+w/b", "-w/c"));
+}
+
 }  // namespace
 }  // namespace basilusher
