Evacuate data centres at the operators' request

Nothing read the operators' keys of evacuations. Each node now keeps them in an EvacuationView, with the age of that view, from the watch that it has already; removals and lists without the key end a request. Where the settings have Bounds.EvacuateMs, an owner starts nothing in such a data centre by any path, starts nothing at all by a view older than half of the bound (or before the keys are read), moves lasting and checkpointable tasks that have room elsewhere, and leaves the instances out of the pools' plan. Waves go on there, empty instances first. Without the bound nothing changes.

--- a/include/basilusher/Node/CatalogKeeper.h
+++ b/include/basilusher/Node/CatalogKeeper.h
@@ -12,6 +12,7 @@
 
 #include "basilusher/Jobs/Catalog.h"
 #include "basilusher/Node/Peers.h"
+#include "basilusher/Partition/EvacuationView.h"
 #include "basilusher/Partition/PartitionOwner.h"
 #include "basilusher/Store/StoreWatcher.h"
 
@@ -20,6 +21,8 @@
 struct CatalogListener {
   std::function<void(const std::shared_ptr<const Catalog>&)> on_catalog;
   std::function<void(const MaintenanceWave&)> on_wave;
+  /// What the operators' keys say of evacuations; null if nobody asks.
+  EvacuationView* evacuations = nullptr;
   /// Peer addresses by node.
   std::function<const std::map<std::string, std::string>&()> peers;
 };
@@ -58,6 +61,9 @@
   std::shared_ptr<const Catalog> InForce() const;
   /// The store has answered lately.
   bool StoreFresh() const;
+  /// All changes of the operators' keys that the store had acknowledged at this
+  /// time are known; zero before the first list.
+  TimePoint FreshAt() const { return watcher_->FreshAt(); }
   /// How this node's calls can get to the store now.
   StoreReach Reach() const;
   /// Addresses of the peers that said lately that the store answers them.
@@ -75,6 +81,8 @@
   };
 
   void OnItem(const StoredItem& item);
+  /// Returns true if the key is one of evacuations, valid or not.
+  bool NoteEvacuation(const StoredItem& item);
   void Apply(const std::string& bytes, const char* source);
   void Check();
   void AskPeers();
--- a/include/basilusher/Partition/OwnerOptions.h
+++ b/include/basilusher/Partition/OwnerOptions.h
@@ -11,6 +11,7 @@
 #include "basilusher/Jobs/Catalog.h"
 #include "basilusher/Jobs/Interfaces.h"
 #include "basilusher/Net/IoLoop.h"
+#include "basilusher/Partition/EvacuationView.h"
 #include "basilusher/Store/TransactionalStore.h"
 #include "basilusher/Support/Clock.h"
 #include "basilusher/Support/Counters.h"
@@ -57,6 +58,10 @@
   /// Returns nothing if the key holds no wave.
   virtual std::optional<MaintenanceWave> DecodeWave(
       const std::string& key, const std::string& bytes) const = 0;
+  /// Data centre that the key asks to evacuate; nothing if the key is of
+  /// another kind. Throws Error(kIntentInvalid) if it can name none.
+  virtual std::optional<std::string> DecodeEvacuation(
+      const std::string& key) const = 0;
   virtual std::string EncodeWaveStatus(bool finished) const = 0;
 };
 
@@ -71,6 +76,8 @@
   const DirectoryFormats* formats = nullptr;
   /// May be null in tests.
   Counters* counters = nullptr;
+  /// Requests to evacuate data centres; null if there are none.
+  const EvacuationView* evacuations = nullptr;
 };
 
 struct OwnerOptions {
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -19,6 +19,7 @@
 #include "basilusher/Jobs/JobTable.h"
 #include "basilusher/Net/IoLoop.h"
 #include "basilusher/Partition/EarlierLeases.h"
+#include "basilusher/Partition/OwnerEvacuation.h"
 #include "basilusher/Partition/OwnerOptions.h"
 #include "basilusher/Partition/OwnerState.h"
 #include "basilusher/Partition/OwnerWaitReport.h"
@@ -101,6 +102,7 @@
   bool RecordsIdle() const { return recorder_->Idle(); }
 
  private:
+  friend class OwnerEvacuation;
   friend class OwnerWaitReport;
 
   struct FinalRecord {
@@ -523,6 +525,7 @@
   TimePoint take_over_wait_since_{};
   TimePoint take_over_wait_until_{};
   OwnerWaitReport wait_report_{this};
+  OwnerEvacuation evacuation_{this};
   std::optional<Deposal> deposal_;
   std::map<std::string, Instance> instances_;
   /// When the list of `instances_` was asked for.
--- a/lib/Node/CatalogKeeper.cc
+++ b/lib/Node/CatalogKeeper.cc
@@ -50,8 +50,26 @@
   Check();
 }
 
+bool CatalogKeeper::NoteEvacuation(const StoredItem& item) {
+  if (listener_.evacuations == nullptr) return false;
+  std::optional<std::string> data_centre;
+  try {
+    data_centre = formats_->DecodeEvacuation(item.key);
+  } catch (const Error& error) {
+    listener_.evacuations->NoteInvalid(item.key, error.what());
+    return true;
+  }
+  if (!data_centre) return false;
+  if (item.removed) {
+    listener_.evacuations->End(*data_centre, item.revision);
+  } else {
+    listener_.evacuations->Begin(*data_centre, item.value, item.revision);
+  }
+  return true;
+}
+
 void CatalogKeeper::OnItem(const StoredItem& item) {
-  if (item.removed) return;
+  if (NoteEvacuation(item) || item.removed) return;
   if (item.key == formats_->ConfigKey()) {
     Apply(item.value, "store");
     return;
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -90,7 +90,8 @@
 bool PartitionOwner::Usable(const WorkerState& worker) const {
   return worker.listed && worker.recorded && !worker.reserved &&
          !worker.entry.draining && worker.unowned_runs_reported == 0 &&
-         worker.link->Ready() && !MayBelongToLaterOwner(worker);
+         worker.link->Ready() && !MayBelongToLaterOwner(worker) &&
+         !evacuation_.Blocks(worker.entry.data_centre);
 }
 
 bool PartitionOwner::MayBelongToLaterOwner(const WorkerState& worker) const {
@@ -172,7 +173,10 @@
   std::map<std::string, double> cores;
   for (const auto& [id, op] : instance_operations_) {
     const auto instance = instances_.find(id);
-    if (op.wave > 0 || !op.accepted || instance == instances_.end()) continue;
+    if (op.wave > 0 || !op.accepted || instance == instances_.end() ||
+        evacuation_.Blocks(instance->second.data_centre)) {
+      continue;
+    }
     cores[op.to_pool] +=
         static_cast<double>(instance->second.room.cpu_millis) / 1e3;
   }
--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -41,6 +41,7 @@
     SaveOrders();
   }
   if (loaded_) EvictFromDraining();
+  if (loaded_) evacuation_.MoveRuns();
   deps_.timers->After(kFleetPeriod,
                       [self = shared_from_this()] { self->FleetTick(); });
 }
@@ -183,6 +184,11 @@
     CancelOperationLater(id);
     return;
   }
+  if (!already_sent && op->wave == 0 &&
+      evacuation_.Blocks(it->second.data_centre)) {
+    CancelOperationLater(id);
+    return;
+  }
   if (!already_sent && !IsSafeToTake(it->second)) {
     if (worker == nullptr ||
         (op->wave == 0 && now - op->begun_at > kMoveDrainTimeout)) {
--- a/lib/Partition/OwnerFreshness.cc
+++ b/lib/Partition/OwnerFreshness.cc
@@ -72,7 +72,8 @@
   // MayStart() bounds how long the owner goes on. A view that was too old when
   // the store last answered stays so: the renewal of the term may be late too.
   return deps_.clock->Now() - fresh_at - StoreSilence() >=
-         options_.max_view_age;
+             options_.max_view_age ||
+         evacuation_.ViewIsStale();
 }
 
 bool PartitionOwner::StartsHeld() const {
@@ -90,9 +91,13 @@
   if (stale_since_ == TimePoint{}) {
     stale_since_ = now;
     Count("starts_held_total");
+    const std::optional<Millis> requests_age =
+        deps_.evacuations == nullptr ? std::nullopt : deps_.evacuations->Age();
     LogEvent(LogLevel::kWarning, "starts-held",
              {{"inbox_age_ms", (now - inbox_->FreshAt()).count()},
-              {"directory_age_ms", (now - directory_->FreshAt()).count()}});
+              {"directory_age_ms", (now - directory_->FreshAt()).count()},
+              {"evacuations_age_ms",
+               requests_age ? Json(requests_age->count()) : Json()}});
   }
   if (now - stale_since_ >= kBehindLimit && listener_.on_behind) {
     listener_.on_behind();
--- a/lib/Partition/OwnerPools.cc
+++ b/lib/Partition/OwnerPools.cc
@@ -207,7 +207,8 @@
     view.tasks = worker == nullptr ? 0 : static_cast<int>(worker->tasks.size());
     const bool unavailable =
         (op != instance_operations_.end() && op->second.wave > 0) ||
-        instance.state == InstanceState::kMaintenance || unusable;
+        instance.state == InstanceState::kMaintenance || unusable ||
+        evacuation_.Blocks(instance.data_centre);
     if (!unavailable) state->second.instances.push_back(view);
   }
   std::vector<PoolState> pools;
--- a/lib/Partition/OwnerWaves.cc
+++ b/lib/Partition/OwnerWaves.cc
@@ -168,12 +168,16 @@
       if (it->second.state != InstanceState::kUp) continue;
       const WorkerState* worker = WorkerOn(it->second);
       const auto pool = catalog_->pools.find(it->second.pool);
+      const bool empty = IsSafeToTake(it->second);
+      // The pool counts without the instances of an evacuated data centre.
+      const bool evacuated = evacuation_.Blocks(it->second.data_centre);
       state.due.push_back(
           {.id = id,
            .pool = it->second.pool,
-           .spare = pool != catalog_->pools.end() && pool->second.spare,
-           .empty = IsSafeToTake(it->second),
-           .pool_has_surplus = pool_surplus_[it->second.pool] > 0,
+           .spare = (pool != catalog_->pools.end() && pool->second.spare) ||
+                    (evacuated && empty),
+           .empty = empty,
+           .pool_has_surplus = evacuated || pool_surplus_[it->second.pool] > 0,
            .tasks =
                worker == nullptr ? 0 : static_cast<int>(worker->tasks.size())});
     }
--- a/unittests/Node/SimNode.cc
+++ b/unittests/Node/SimNode.cc
@@ -76,7 +76,9 @@
 
 SimNode::SimNode(FleetSim* sim, SimPeers* peers, const std::string& name,
                  double strength, bool store_silent)
-    : sim(sim), store(&sim->store, &sim->timers) {
+    : sim(sim),
+      store(&sim->store, &sim->timers),
+      evacuations(&sim->timers, nullptr) {
   store.silent = store_silent;
   const std::string address = name + ":7000";
   agent = std::make_shared<NodeAgent>(
@@ -85,7 +87,8 @@
                         .instances = &sim->fleet,
                         .timers = &sim->timers,
                         .clock = &sim->timers,
-                        .formats = &sim->formats},
+                        .formats = &sim->formats,
+                        .evacuations = &evacuations},
       peers,
       NodeOptions{.node = name,
                   .incarnation = name + "-1",
@@ -101,9 +104,11 @@
               },
           .on_wave =
               [this](const MaintenanceWave& wave) { agent->OnWave(wave); },
+          .evacuations = &evacuations,
           .peers = [this]() -> const std::map<std::string, std::string>& {
             return agent->Peers();
           }});
+  evacuations.Follow([this] { return catalogs->FreshAt(); });
   front = std::make_shared<JobFront>(JobFrontPorts{.store = &store,
                                                    .timers = &sim->timers,
                                                    .clock = &sim->timers,
--- a/unittests/Node/SimNode.h
+++ b/unittests/Node/SimNode.h
@@ -71,6 +71,8 @@
 
   FleetSim* sim;
   SimStorePath store;
+  /// Off until a test sets the maximum age.
+  EvacuationView evacuations;
   PeerMethods methods;
   std::shared_ptr<NodeAgent> agent;
   std::shared_ptr<CatalogKeeper> catalogs;
--- a/unittests/Partition/FleetSim.cc
+++ b/unittests/Partition/FleetSim.cc
@@ -44,6 +44,7 @@
   entry.id = key.substr(WorkerPrefix().size());
   entry.pool = in.value("pool", "");
   entry.address = in.value("address", entry.id + ":1");
+  entry.data_centre = in.value("data_centre", "");
   entry.room = {.cpu_millis = in.value("cpu", std::int64_t{0}),
                 .memory_mb = in.value("memory", std::int64_t{0})};
   entry.draining = in.value("draining", false);
@@ -57,6 +58,15 @@
   return std::nullopt;
 }
 
+std::optional<std::string> SimFormats::DecodeEvacuation(
+    const std::string& key) const {
+  const std::string prefix = OperatorPrefix() + "evacuate/";
+  if (!key.starts_with(prefix)) return std::nullopt;
+  std::string name = key.substr(prefix.size());
+  if (name.empty()) throw Error(ResultCode::kIntentInvalid, "no name");
+  return name;
+}
+
 std::string SimFormats::EncodeWaveStatus(bool finished) const {
   return finished ? "finished" : "running";
 }
@@ -100,7 +110,8 @@
                         .advisor = advisor,
                         .timers = &timers,
                         .clock = &timers,
-                        .formats = &formats},
+                        .formats = &formats,
+                        .evacuations = evacuations},
       OwnerOptions{.node = "node-" + std::to_string(term_),
                    .term = term_,
                    .starts_stored_since = starts_stored_since,
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -151,10 +151,12 @@
     std::string checkpoint;
     bool serving = false;
     bool filler = false;
+    bool lasting = false;
     int pace = 100;
   };
   std::string id;
   std::string pool;
+  std::string data_centre;
   /// Where it listens; if empty, an address of its own that is named after it.
   std::string address;
   Resources room{.cpu_millis = 32000, .memory_mb = 65536};
@@ -225,7 +227,10 @@
 
   /// Adds an instance with a worker and returns the worker's id; the instance's
   /// id is the same behind "m-".
-  std::string AddWorker(const std::string& pool);
+  std::string AddWorker(const std::string& pool,
+                        const std::string& data_centre = {});
+  /// Adds an instance without a worker to the spare pool; returns its id.
+  std::string AddSpare(const std::string& data_centre);
   /// The worker's process crashes; its directory entry expires 4.5 s later.
   void Crash(const std::string& id);
   /// Crashes the worker; its instance runs a worker again after
@@ -244,6 +249,15 @@
   std::vector<std::string> AliveWorkerIds() const;
   /// Present tail latency of the worker's serving tasks.
   static std::int64_t TailLatencyMs(const SimWorker& worker);
+  /// No task may start in the data centre later than `evacuation_bound` from
+  /// now on, until EndEvacuation().
+  void RecordEvacuation(const std::string& data_centre);
+  void EndEvacuation(const std::string& data_centre);
+  /// Starts in the data centre so far.
+  int StartsIn(const std::string& data_centre) const;
+  int RunningIn(const std::string& data_centre) const;
+  /// Pool of the instance.
+  std::string PoolOf(const std::string& instance) const;
   /// Makes the job known to the workers; a start of any other job is a
   /// violation.
   void RegisterJob(const JobSpec& job);
@@ -280,6 +294,12 @@
   bool ends_on_time = false;
   /// Most ended runs in the answer to one Hold call.
   std::size_t max_ends_per_poll = 500;
+  /// Longest time after the acknowledgement of an evacuation within which a
+  /// task may start there.
+  Millis evacuation_bound{5000};
+  /// Tasks that end by themselves report their progress. Otherwise they report
+  /// 100 percent once they work, as lasting tasks do.
+  bool reports_progress = false;
   int starts_without_ticket = 0;
   int peak_in_maintenance = 0;
   int moves = 0;
@@ -290,6 +310,7 @@
     std::string pool;
     InstanceState state = InstanceState::kUp;
     std::string worker;
+    std::string data_centre;
     /// Worker whose crash has taken the instance down.
     std::string crashed_worker;
     std::int64_t fence = 0;
@@ -302,7 +323,8 @@
                std::int64_t run, std::int64_t fence,
                const std::function<void(CommandResult)>& done);
   void AddViolation(const std::string& what);
-  std::string NewWorker(const std::string& pool);
+  std::string NewWorker(const std::string& pool,
+                        const std::string& data_centre);
   void WriteDirectoryEntry(const SimWorker& worker, bool draining);
   CommandResult DoStart(SimWorker* worker, const StartCommand& command);
   HoldAnswer DoHold(SimWorker* worker, const HoldCommand& command);
@@ -340,6 +362,9 @@
   std::map<std::string, SimInstance> instances_;
   std::map<std::string, JobSpec> jobs_;
   std::map<std::string, TimePoint> cancelled_at_;
+  /// When the evacuation of each data centre was acknowledged.
+  std::map<std::string, TimePoint> evacuated_at_;
+  std::map<std::string, int> starts_in_;
   std::map<TaskId, std::int64_t> done_run_;
   std::map<TaskId, TimePoint> last_start_;
   /// Checkpoint of each gang's run, by the first member.
@@ -370,6 +395,8 @@
       const std::string& key, const std::string& bytes) const override;
   std::optional<MaintenanceWave> DecodeWave(
       const std::string& key, const std::string& bytes) const override;
+  std::optional<std::string> DecodeEvacuation(
+      const std::string& key) const override;
   std::string EncodeWaveStatus(bool finished) const override;
 };
 
@@ -403,6 +430,7 @@
   /// What later owners use.
   PlacementAdvisor* advisor = nullptr;
   InstanceProvider* instances = &fleet;
+  const EvacuationView* evacuations = nullptr;
   Catalog catalog;
   std::shared_ptr<PartitionOwner> owner;
   std::vector<std::shared_ptr<PartitionOwner>> former_owners;
--- a/unittests/Partition/SimFleet.cc
+++ b/unittests/Partition/SimFleet.cc
@@ -30,10 +30,12 @@
       std::to_string(timers_->Now().time_since_epoch().count()) + ": " + what);
 }
 
-std::string SimFleet::NewWorker(const std::string& pool) {
+std::string SimFleet::NewWorker(const std::string& pool,
+                                const std::string& data_centre) {
   std::unique_ptr<SimWorker> worker = std::make_unique<SimWorker>();
   worker->id = "w" + std::to_string(next_id_++);
   worker->pool = pool;
+  worker->data_centre = data_centre;
   worker->born_at = timers_->Now();
   std::string id = worker->id;
   WriteDirectoryEntry(*worker, false);
@@ -41,13 +43,46 @@
   return id;
 }
 
-std::string SimFleet::AddWorker(const std::string& pool) {
-  std::string id = NewWorker(pool);
+std::string SimFleet::AddWorker(const std::string& pool,
+                                const std::string& data_centre) {
+  std::string id = NewWorker(pool, data_centre);
   const std::string instance = "m-" + id;
-  instances_[instance] = {.id = instance, .pool = pool, .worker = id};
+  instances_[instance] = {
+      .id = instance, .pool = pool, .worker = id, .data_centre = data_centre};
   return id;
 }
 
+std::string SimFleet::AddSpare(const std::string& data_centre) {
+  std::string id = "m-s" + std::to_string(next_id_++);
+  instances_[id] = {.id = id, .pool = "spare", .data_centre = data_centre};
+  return id;
+}
+
+void SimFleet::RecordEvacuation(const std::string& data_centre) {
+  evacuated_at_[data_centre] = timers_->Now();
+}
+
+void SimFleet::EndEvacuation(const std::string& data_centre) {
+  evacuated_at_.erase(data_centre);
+}
+
+int SimFleet::StartsIn(const std::string& data_centre) const {
+  const auto it = starts_in_.find(data_centre);
+  return it == starts_in_.end() ? 0 : it->second;
+}
+
+int SimFleet::RunningIn(const std::string& data_centre) const {
+  std::size_t count = 0;
+  for (const auto& [id, worker] : workers_) {
+    if (worker->data_centre == data_centre) count += worker->running.size();
+  }
+  return static_cast<int>(count);
+}
+
+std::string SimFleet::PoolOf(const std::string& instance) const {
+  return instances_.at(instance).pool;
+}
+
 void SimFleet::WriteDirectoryEntry(const SimWorker& worker, bool draining) {
   store_->Put("workers/" + worker.id,
               Json({{"pool", worker.pool},
@@ -55,6 +90,7 @@
                     {"cpu", worker.room.cpu_millis},
                     {"memory", worker.room.memory_mb},
                     {"draining", draining},
+                    {"data_centre", worker.data_centre},
                     {"born", worker.born_at.time_since_epoch().count()}})
                   .dump());
 }
@@ -108,7 +144,10 @@
 void SimFleet::Restart(const std::string& id) {
   SimWorker* worker = Find(id);
   if (restart_mode == RestartMode::kSameId) {
-    *worker = {.id = id, .pool = worker->pool, .room = worker->room};
+    *worker = {.id = id,
+               .pool = worker->pool,
+               .data_centre = worker->data_centre,
+               .room = worker->room};
     worker->born_at = timers_->Now();
     WriteDirectoryEntry(*worker, false);
     return;
@@ -118,7 +157,7 @@
     if (instance.crashed_worker != id && instance.worker != id) continue;
     instance.crashed_worker.clear();
     instance.state = InstanceState::kUp;
-    instance.worker = NewWorker(instance.pool);
+    instance.worker = NewWorker(instance.pool, instance.data_centre);
   }
 }
 
@@ -264,6 +303,12 @@
       }
     }
   }
+  const auto evacuated = evacuated_at_.find(worker.data_centre);
+  if (evacuated != evacuated_at_.end() &&
+      timers_->Now() - evacuated->second > evacuation_bound) {
+    AddViolation("started in an evacuated data centre: " + name + " on " +
+                 worker.id);
+  }
   const auto cancelled = cancelled_at_.find(task.job);
   if (cancelled != cancelled_at_.end() &&
       timers_->Now() - cancelled->second > kCancelBound) {
@@ -351,6 +396,7 @@
   }
   if (step.gang) CheckGangCheckpoint(command);
   ++started_runs_;
+  ++starts_in_[worker->data_centre];
   CheckCrashes(command.task);
   if (crashing_tasks.contains(command.task)) {
     timers_->After(crash_delay,
@@ -366,7 +412,8 @@
       .kind = worker->fails_all_tasks ? EndKind::kFailed : EndKind::kDone,
       .charge = Charge(step),
       .serving = step.target_ms > 0,
-      .filler = step.filler};
+      .filler = step.filler,
+      .lasting = step.lasting};
   return CommandResult::kDone;
 }
 
@@ -504,12 +551,18 @@
   answer.worker_clock_ms = ClockMs(*worker);
   answer.born_unix_ms = worker->born_at.time_since_epoch().count();
   for (const auto& [task, run] : worker->running) {
-    const bool at_work = timers_->Now() - run.started_at > startup;
+    const Millis elapsed = timers_->Now() - run.started_at;
+    const bool at_work = elapsed > startup;
+    int percent = at_work ? 100 : 0;
+    if (reports_progress && !run.lasting && !run.stopping) {
+      percent = static_cast<int>(100 * elapsed.count() /
+                                 (run.ends_at - run.started_at).count());
+    }
     answer.running.push_back(
         {.task = task,
          .run = run.run,
          .checkpoint = run.checkpoint,
-         .percent = at_work ? 100 : 0,
+         .percent = percent,
          .reported_load = run.serving ? TailLatencyMs(*worker) : 0});
   }
   const std::size_t listed = std::min(worker->ended.size(), max_ends_per_poll);
@@ -586,6 +639,7 @@
     list.instances.push_back({.id = id,
                               .pool = instance.pool,
                               .state = instance.state,
+                              .data_centre = instance.data_centre,
                               .room = {.cpu_millis = 32000, .memory_mb = 65536},
                               .worker = instance.worker});
   }
@@ -613,7 +667,9 @@
     SimInstance& back = instances_.at(id);
     if (back.state == InstanceState::kMaintenance) --in_maintenance_;
     back.state = InstanceState::kUp;
-    if (back.pool != "spare") back.worker = NewWorker(back.pool);
+    if (back.pool != "spare") {
+      back.worker = NewWorker(back.pool, back.data_centre);
+    }
   });
 }
 
