Order a full pool by workspace share

Cause: a workspace that sends several times its usual rate takes the capacity that makes the others' jobs late, since jobs are ordered by slack alone. Change: a token bucket for each workspace, filled at its weight in jobs a second, marks the jobs beyond the share; they go behind the others while their pool has less free room than its waiting tasks need. A new owner classifies open jobs again from empty buckets. Off by default (OwnerOptions).

--- a/include/basilusher/Jobs/JobTable.h
+++ b/include/basilusher/Jobs/JobTable.h
@@ -131,6 +131,8 @@
   std::int64_t placements_term = 0;
   /// Revision of the stored progress; zero if none is stored.
   std::int64_t progress_revision = 0;
+  /// The job came while its workspace sent more than its share.
+  bool over_share = false;
   /// A cancellation request for the job is known.
   bool cancelled = false;
   /// The final state is durable and may be returned to clients.
--- a/include/basilusher/Partition/OwnerOptions.h
+++ b/include/basilusher/Partition/OwnerOptions.h
@@ -101,6 +101,9 @@
   /// answers. Less than the time after which a cancelled job or a draining
   /// worker must see no start.
   Millis max_view_age{1700};
+  /// Jobs within their workspace's share go before the others while their pool
+  /// is full.
+  bool workspace_shares = false;
   /// Time for which an answer of the store confirms the term.
   Millis term_lease{1500};
 };
--- a/include/basilusher/Partition/OwnerState.h
+++ b/include/basilusher/Partition/OwnerState.h
@@ -240,6 +240,8 @@
   /// The job has waited so long that suspect workers may run it too.
   bool any_worker = false;
   BacklogJob backlog;
+  /// Cores that its waiting tasks ask for.
+  double waiting_cores = 0;
 };
 
 }  // namespace basilusher
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -23,6 +23,7 @@
 #include "basilusher/Partition/OwnerState.h"
 #include "basilusher/Partition/OwnerWaitReport.h"
 #include "basilusher/Partition/Recorder.h"
+#include "basilusher/Partition/ShareTracker.h"
 #include "basilusher/Schedule/AdviceCache.h"
 #include "basilusher/Schedule/PoolPlan.h"
 #include "basilusher/Schedule/WavePlan.h"
@@ -494,6 +495,7 @@
   std::map<std::string, Resources> workspace_caps_;
   std::map<std::string, Resources> workspace_orphaned_;
   std::map<std::string, DurationEstimate> durations_;
+  ShareTracker shares_;
   /// By a number that rises with each of them.
   std::map<std::int64_t, HeldStart> held_starts_;
   std::int64_t last_held_start_ = 0;
--- a/include/basilusher/Schedule/Urgency.h
+++ b/include/basilusher/Schedule/Urgency.h
@@ -47,10 +47,12 @@
   kWorthless,
 };
 
-/// Rank of a job; lower ranks go first. Compared by lateness, priority and
-/// slack, in this order.
+/// Rank of a job; lower ranks go first. Compared by lateness, share, priority
+/// and slack, in this order.
 struct Urgency {
   Lateness lateness = Lateness::kInTime;
+  /// The job is beyond its workspace's share of a full pool.
+  bool over_share = false;
   int priority = 0;
   /// Time left until the objective, less the remaining critical path; negative
   /// if the job is late.
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -136,6 +136,7 @@
     for (auto& [number, occurrence] : job->occurrences) {
       bool is_waiting = false;
       BacklogJob backlog;
+      double waiting_cores = 0;
       for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
         const StepRecord& step = occurrence.steps[s];
         const StepSpec& spec = job->spec.steps[s];
@@ -149,6 +150,7 @@
           continue;
         }
         backlog.work_core_ms += task_core_ms * waiting;
+        waiting_cores += cores * waiting;
         backlog.started = backlog.started || step.active + step.done > 0;
         pool->second.running_core_ms +=
             task_core_ms * step.active * kMeanShareLeft;
@@ -162,7 +164,8 @@
            .occurrence = number,
            .pool = &pool->second,
            .any_worker = now - job->accepted_at > kHealthyOnlyPeriod,
-           .backlog = backlog});
+           .backlog = backlog,
+           .waiting_cores = waiting_cores});
     }
   }
   return candidates;
@@ -222,6 +225,7 @@
   SendStoredStarts();
   std::map<std::string, PoolWorkers> pools = CollectWorkers(now);
   std::vector<PlacementCandidate> candidates = CollectCandidates(&pools, now);
+  shares_.Order(pools, &candidates);
   const auto by_urgency = [](const PlacementCandidate& a,
                              const PlacementCandidate& b) {
     return a.urgency < b.urgency;
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -83,6 +83,7 @@
     : deps_(dependencies),
       options_(std::move(options)),
       listener_(std::move(listener)),
+      shares_(options_.workspace_shares, dependencies.counters),
       earlier_leases_({.usual = LeaseBound(options_.task_lease),
                        .longest = LeaseBound(options_.max_task_lease),
                        .owner_grace = options_.earlier_owner_grace},
@@ -248,6 +249,7 @@
             {"workers", workers_.size()},
             {"unread", unread_workers_.size()},
             {"after_ms", (deps_.clock->Now() - began_at_).count()}});
+  if (catalog_ != nullptr) shares_.Restore(&jobs_, *catalog_);
   InheritLostRuns();
   FailExhaustedJobs();
   // Reports can be matched to jobs only now that the jobs are known.
@@ -310,6 +312,7 @@
     recorder_->SetRevision(id, progress->second.revision);
     job->state = JobState::kRunning;
   }
+  if (loaded_ && catalog_ != nullptr) shares_.NoteArrival(job, *catalog_);
   InheritPlacements(job, progress != loaded_progress_.end());
   OpenDueOccurrences(job, unix_ms);
   if (early_cancels_.erase(id) > 0) {
--- a/lib/Schedule/Urgency.cc
+++ b/lib/Schedule/Urgency.cc
@@ -51,8 +51,8 @@
 }
 
 bool operator<(const Urgency& a, const Urgency& b) {
-  return std::tie(a.lateness, a.priority, a.slack_ms) <
-         std::tie(b.lateness, b.priority, b.slack_ms);
+  return std::tie(a.lateness, a.over_share, a.priority, a.slack_ms) <
+         std::tie(b.lateness, b.over_share, b.priority, b.slack_ms);
 }
 
 Urgency RankJob(const JobRecord& job, const OccurrenceRecord& occurrence,
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -408,6 +408,8 @@
   std::vector<std::shared_ptr<PartitionOwner>> former_owners;
   /// What the owner before the current one told of its leases when it ended.
   LongLeases former_leases;
+  /// OwnerOptions::workspace_shares of later owners.
+  bool workspace_shares = false;
   /// OwnerOptions::starts_stored_since of later owners.
   std::int64_t starts_stored_since = 1;
   /// The current owner can confirm its term.
