Test a wave's order, the pools' demand and pending moves in an evacuation

Three mutations of the evacuation survived its tests: a wave that begins anywhere, pools that count on evacuated instances, and moves that were planned before the request.

--- a/unittests/Partition/EvacuationTest.cc
+++ b/unittests/Partition/EvacuationTest.cc
@@ -267,6 +267,23 @@
   EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
 }
 
+/// Their maintenance takes no capacity away, unlike that of other empty ones.
+TEST_F(EvacuationTest, AWaveBeginsWithEmptyInstancesThere) {
+  AddWorkers({"a", "a", "b", "b"});
+  BeginTerm();
+  Evacuate("a");
+  sim.Run(kTold);
+  sim.owner->SetWave({.number = 1,
+                      .instances = {"m-w2", "m-w3", "m-w0", "m-w1"},
+                      .ramp_s = 60,
+                      .max_at_once = 2});
+  sim.Run(Millis(1500));
+  EXPECT_FALSE(sim.fleet.Find("w0")->alive);
+  EXPECT_FALSE(sim.fleet.Find("w1")->alive);
+  EXPECT_TRUE(sim.fleet.Find("w2")->alive);
+  EXPECT_TRUE(sim.fleet.Find("w3")->alive);
+}
+
 TEST_F(EvacuationTest, TwoDataCentres) {
   AddWorkers({"a", "b", "c"});
   BeginTerm();
@@ -496,6 +513,42 @@
   EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
 }
 
+/// Guards against a pool that counts on instances which take no tasks.
+TEST_F(EvacuationTest, InstancesThereMeetNoDemand) {
+  sim.catalog.pools["spare"] = {.name = "spare", .spare = true};
+  AddWorkers({"a", "b"});
+  const std::string spare = sim.fleet.AddSpare("b");
+  BeginTerm();
+  Evacuate("a");
+  sim.Run(kTold);
+  // Two workers' worth.
+  sim.Submit(Lasting(28, 28));
+  sim.Run(Millis(4000));
+  EXPECT_EQ(sim.fleet.PoolOf(spare), "pool");
+  EXPECT_EQ(sim.fleet.RunningIn("b"), 28);
+  EXPECT_EQ(sim.fleet.StartsIn("a"), 0);
+}
+
+/// Guards against an order that was planned before the request.
+TEST_F(EvacuationTest, AMoveThatIsNotOrderedYetIsGivenUp) {
+  sim.catalog.pools["spare"] = {.name = "spare", .spare = true};
+  AddWorkers({"b"});
+  const std::string spare = sim.fleet.AddSpare("a");
+  BeginTerm();
+  sim.store.refused_prefixes = {RecordKeys().orders};
+  sim.Submit(Lasting(28, 28));
+  sim.Run(Millis(1500));
+  Evacuate("a");
+  sim.Run(Millis(500));
+  sim.store.refused_prefixes.clear();
+  sim.Run(Millis(5000));
+  EXPECT_EQ(sim.fleet.PoolOf(spare), "spare");
+  Cancel("a");
+  sim.Run(Millis(5000));
+  EXPECT_EQ(sim.fleet.PoolOf(spare), "pool");
+  EXPECT_EQ(sim.fleet.RunningIn("a"), 12);
+}
+
 TEST_F(EvacuationTest, AnUnknownDataCentreIsLoggedOnceAndKept) {
   LogCapture log;
   AddWorkers({"b"});
