--- a/test/soak/standins/harness.py
+++ b/test/soak/standins/harness.py
@@ -54,10 +54,13 @@
 
 class Deployment:
     """`nodes` nodes and `workers` workers, four to a rack. `pools` names the
-    service of each machine; those of the service `spare` are off."""
+    service of each machine; those of the service `spare` are off. `bounds` and
+    `contracts` go into the nodes' settings, the latter beside the usual
+    ones."""
 
     def __init__(self, nodes=3, workers=9, room=None, labels=None, pools=None,
-                 spare=None, limit_s=LIMIT_S, platform=Platform):
+                 spare=None, limit_s=LIMIT_S, platform=Platform, bounds=None,
+                 contracts=()):
         if not os.path.exists(PROGRAM):
             raise NotRun(f"{PROGRAM} is missing: build first")
         self.net = free_network(nodes)
@@ -76,6 +79,8 @@
         self.hosts = [f"m-{n:02d}" for n in range(1, workers + 1)]
         self.room = room or {"Cpu": 32000, "MemMb": 65536, "Gpu": 0}
         self.spare = spare
+        self.bounds = bounds or BOUNDS
+        self.contracts = list(contracts)
         self.pools = dict(zip(self.hosts, pools or [SERVICE] * workers))
         self.labels = labels or (lambda n: ["a", f"r1-{n // 4}"])
         atexit.register(self.close)
@@ -147,9 +152,9 @@
             "HeartbeatMs": int(HEARTBEAT_S * 1000),
             "Contracts": ["base", "drain", "config", "cost", "recover",
                           "sched", "tenants", "quota", "platform", "advice",
-                          "upkeep", "sharing"],
+                          "upkeep", "sharing", *self.contracts],
             "Tolerate": {"Machines": 1, "Zones": 0, "Regions": 0},
-            "Bounds": BOUNDS, "Orders": "call", "Advice": f"{self.net}.0.9:9",
+            "Bounds": self.bounds, "Orders": "call", "Advice": f"{self.net}.0.9:9",
             "platform": {"Addr": self.store_address(n), "form": "kv",
                          "WritesPerS": 400, "ReadsPerS": 2000,
                          "RetentionS": 20, "ValueBytes": 1048576,
@@ -243,7 +248,7 @@
         options = {"Id": worker, "Addr": address, "Listen": listen,
                    "Standby": standby, "FirstBeatS": first_beat_s,
                    "Service": self.pools[host],
-                   "Zone": f"zone-{n % 3 + 1}", "Room": self.room,
+                   "Zone": self.zone_of(host), "Room": self.room,
                    "Labels": labels, "HeartbeatS": HEARTBEAT_S,
                    "Platform": self.platform.address,
                    "ClockRate": self.clock_rates.get(host, 1.0),
@@ -278,7 +283,7 @@
         n = self.hosts.index(host)
         self.platform.machines[host] = {
             "HostId": host, "Pool": self.pools[host], "State": "up",
-            "Zone": f"zone-{n % 3 + 1}", "Labels": self.labels(n),
+            "Zone": self.zone_of(host), "Labels": self.labels(n),
             "Room": self.room}
 
     def move_machine(self, host, pool, holder, fence):
@@ -305,6 +310,9 @@
         timer.daemon = True
         timer.start()
 
+    def zone_of(self, host):
+        return f"zone-{self.hosts.index(host) % 3 + 1}"
+
     def worker_address(self, host):
         return f"{self.net}.2.{self.hosts.index(host) + 1}:8080"
 
