Let the operator evacuate zones in the soak

Beside the random troubles, by a generator of its own, so that the troubles of a seed stay those that they were. check_evacuated reports starts by a node in touch in an evacuated zone later than 5 s after the acknowledgement.

--- a/test/soak/__main__.py
+++ b/test/soak/__main__.py
@@ -37,6 +37,9 @@
     parser.add_argument("--how", choices=("stop", "kill"),
                         help="how the owner of a story ends; what is not given "
                         "is drawn from the seed")
+    parser.add_argument("--evacuate", action="store_true",
+                        help="the operator evacuates zones beside the random "
+                        "troubles")
     parser.add_argument("--keep", metavar="FOLDER",
                         help="keeps the records of plays that broke a rule")
     parser.add_argument("--one", action="store_true", help=argparse.SUPPRESS)
@@ -58,7 +61,7 @@
         seed=arguments.seed, seconds=arguments.seconds, nodes=arguments.nodes,
         workers=arguments.workers, keep=arguments.keep,
         kinds=tuple(filter(None, arguments.kinds.split(","))),
-        story=story_of(arguments)))
+        story=story_of(arguments), evacuate=arguments.evacuate))
     print(f"seed {arguments.seed}: {result.starts} starts, "
           f"{len(result.violations)} broken, {result.waits}", flush=True)
     for violation in result.violations[:20]:
@@ -76,6 +79,8 @@
             if getattr(arguments, name)]
     if arguments.story:
         rest.append("--story")
+    if arguments.evacuate:
+        rest.append("--evacuate")
     while (seed < arguments.seed + arguments.seeds
            or time.monotonic() < until):
         code = subprocess.run([sys.executable, "-m", "soak", "--one",
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -7,6 +7,7 @@
 
 # From the deployment's bounds.
 CANCEL_S = 3.0
+EVACUATE_S = 5.0
 STABLE_WINDOW_S = 3.0
 THAW_S = 0.3
 ATTEMPTS = 3
@@ -190,6 +191,21 @@
                             f"{job.cancelled_at:.3f}")
 
 
+def check_evacuated(runs, evacuations, in_touch):
+    """EVAC: starts by a node in touch in an evacuated zone. `evacuations` are
+    a function that tells the zone of a host, and rows of a zone, the time of
+    the acknowledgement and that of the removal or None."""
+    zone_of, spans = evacuations
+    for run in runs:
+        for zone, acknowledged_at, removed_at in spans:
+            if (zone_of(run.host) == zone
+                    and run.began > acknowledged_at + EVACUATE_S
+                    and (removed_at is None or run.began < removed_at)
+                    and in_touch(run)):
+                yield Violation("EVAC", run.began, f"{run}: {zone} was "
+                                f"evacuated at {acknowledged_at:.3f}")
+
+
 def check_lost(runs, jobs, ended_at):
     """LOST: every accepted job is known and has come to its end."""
     failed = collections.Counter(
@@ -303,13 +319,15 @@
                                     f"{task} is done")
 
 
-def check_all(runs, jobs, room, pauses, in_touch, ended_at, calm=()):
+def check_all(runs, jobs, room, pauses, in_touch, ended_at, calm=(),
+              evacuations=(None, ())):
     """All violations in the order of time. `calm` are the spans without trouble
-    in which lasting tasks have to run."""
+    in which lasting tasks have to run; `evacuations` as in check_evacuated."""
     unasked = list(check_unasked(runs, jobs, in_touch))
     known = [run for run in runs if run.task.split(".", 1)[0] in jobs]
     return sorted(
         [*unasked, *check_twice(runs, pauses),
+         *check_evacuated(runs, evacuations, in_touch),
          *check_room(known, jobs, room), *check_order(known, jobs),
          *check_attempts(known, jobs), *check_refused(known, jobs),
          *check_shown(known, jobs), *check_lost(known, jobs, ended_at),
--- a/test/soak/deployment.py
+++ b/test/soak/deployment.py
@@ -18,9 +18,9 @@
     """Each node has an address of the store of its own, and reaches workers and
     peers through links."""
 
-    def __init__(self, nodes, workers, limit_s):
+    def __init__(self, nodes, workers, limit_s, **options):
         super().__init__(nodes=nodes, workers=workers, limit_s=limit_s,
-                         platform=SoakPlatform)
+                         platform=SoakPlatform, **options)
         self.store_addresses = []
         self.peer_links = []
         self.disruptions = {}
--- a/test/soak/play.py
+++ b/test/soak/play.py
@@ -14,6 +14,7 @@
 from . import checks
 from .clients import PREFIX, Clients
 from .deployment import SoakDeployment
+from .evacuations import Evacuations
 from .platform import ENTRY_RETURN_S
 from .story import Story, StoryOptions, drawn
 from .troubles import FIRST_VERSION, STORE, Troubles
@@ -40,6 +41,8 @@
     calm_s: float = 15.0
     # Played in place of random troubles.
     story: StoryOptions | None = None
+    # The operator evacuates zones during the troubles.
+    evacuate: bool = False
     keep: str | None = None
 
 
@@ -146,9 +149,10 @@
     return checks.runs_of(rows, [(at - began, host) for at, host in kills])
 
 
-def judge(deployment, jobs, kills, calm=()):
+def judge(deployment, jobs, kills, calm=(), evacuations=()):
     """Violations in what has happened so far, and the number of starts. Times
-    are seconds since the deployment began; `calm` are monotonic spans."""
+    are seconds since the deployment began; `calm` and `evacuations` are
+    monotonic spans."""
     began = deployment.began
     now = time.monotonic() - began
     runs = runs_so_far(deployment, kills)
@@ -157,7 +161,11 @@
         pauses_of([since_began(began, row, ("at",))
                    for row in deployment.record]),
         in_touch_by(deployment, elected(deployment)), now,
-        [(since - began, until - began) for since, until in calm])
+        [(since - began, until - began) for since, until in calm],
+        (deployment.zone_of,
+         [(zone, acknowledged_at - began,
+           None if removed_at is None else removed_at - began)
+          for zone, acknowledged_at, removed_at in evacuations]))
     violations += [checks.Violation("FAULT", now, end)
                    for end in aborts(deployment)]
     return violations, len(runs)
@@ -177,7 +185,7 @@
             if run.task.split(".", 1)[0] in names]
 
 
-def play_troubles(options, deployment, troubles, clients):
+def play_troubles(options, deployment, troubles, clients, evacuations):
     """Returns the begin of the calm."""
     late = threading.Timer(options.seconds / 2, clients.add_lasting,
                            [LATE_LASTING_JOBS])
@@ -186,6 +194,8 @@
     clients.ease()
     late.join()
     troubles.finish()
+    if options.evacuate:
+        evacuations.stop()
     return time.monotonic()
 
 
@@ -211,7 +221,11 @@
                      + story_options.away_s)
     deployment = SoakDeployment(
         options.nodes, options.workers,
-        limit_s=int(trouble_s + calm_s + options.settle_s + SETUP_AND_END_S))
+        limit_s=int(trouble_s + calm_s + options.settle_s + SETUP_AND_END_S),
+        **({"contracts": ["places"],
+            "bounds": {**harness.BOUNDS,
+                       "EvacuateMs": int(checks.EVACUATE_S * 1000)}}
+           if options.evacuate else {}))
     try:
         for n, host in enumerate(deployment.hosts):
             deployment.clock_rates[host] = 1.0 - 0.02 * (n % 3) / 2
@@ -228,6 +242,9 @@
         else:
             troubles.prepare()
         clients.begin()
+        evacuations = Evacuations(deployment, options.seed)
+        if options.evacuate:
+            evacuations.begin()
         time.sleep(START_S)
         if story:
             clients.ease()
@@ -235,7 +252,8 @@
             story.end_silence()
             calm_at = story.calm_at
         else:
-            calm_at = play_troubles(options, deployment, troubles, clients)
+            calm_at = play_troubles(options, deployment, troubles, clients,
+                                    evacuations)
         time.sleep(calm_s)
         calm_until = time.monotonic()
         clients.stop()
@@ -243,7 +261,8 @@
             story.finish()
         clients.settle(options.settle_s)
         violations, starts = judge(deployment, clients.jobs, troubles.kills,
-                                   [(calm_at, calm_until)])
+                                   [(calm_at, calm_until)],
+                                   evacuations.spans)
         gaps = gaps_so_far(deployment, clients, troubles.kills)
         waits = Waits(checks.longest_gap(gaps, calm_at - deployment.began,
                                          calm_until - deployment.began))
--- a/test/soak_checks_test.py
+++ b/test/soak_checks_test.py
@@ -203,6 +203,19 @@
         shown.final_at = 3.0
         self.assertEqual(self.rules(rows, [shown]), [])
 
+    def test_a_start_in_an_evacuated_zone(self):
+        runs = checks.runs_of([started(10)], [])
+
+        def rules(*span, in_touch=True):
+            return [violation.rule for violation in checks.check_evacuated(
+                runs, (lambda host: "zone-1", [span]), lambda run: in_touch)]
+        self.assertEqual(rules("zone-1", 4.9, None), ["EVAC"])
+        self.assertEqual(rules("zone-1", 4.9, 10.1), ["EVAC"])
+        self.assertEqual(rules("zone-1", 4.9, 9.9), [])
+        self.assertEqual(rules("zone-1", 5.1, None), [])
+        self.assertEqual(rules("zone-2", 4.9, None), [])
+        self.assertEqual(rules("zone-1", 4.9, None, in_touch=False), [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/test/soak_test.py
+++ b/test/soak_test.py
@@ -134,6 +134,17 @@
         self.assertGreater(result.starts, 0)
 
 
+class EvacuationSoakTest(unittest.TestCase):
+    """Guards against starts in evacuated zones, and against rules that an
+    evacuation breaks, beside all other troubles."""
+
+    def test_rules_hold_while_the_operator_evacuates_zones(self):
+        result = play(Options(seed=42, seconds=40, evacuate=True))
+        self.assertEqual(first_of(result.violations), [],
+                         f"{len(result.violations)} violations")
+        self.assertGreater(result.starts, 0)
+
+
 class LastingTasksTest(unittest.TestCase):
     def test_a_lasting_task_runs_again_after_the_owner_stops_in_an_outage(self):
         result = play(Options(seed=40, story=StoryOptions(
