--- a/unittests/Node/EvacuationKeysTest.cc
+++ b/unittests/Node/EvacuationKeysTest.cc
@@ -147,6 +147,31 @@
   EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
 }
 
+/// Such a store lengthens the bound of 5 s by 6 s at most. The node is alone,
+/// so that no later owner takes its workers.
+TEST(EvacuationKeysTest, AnOwnerThatTheStoreRejectsStopsWithinTheLongerBound) {
+  FleetSim sim;
+  SimPeers peers(&sim.timers);
+  sim.catalog.pools.erase("spare");
+  sim.fleet.evacuation_bound = Millis(11000);
+  sim.fleet.AddWorker("pool", "a");
+  SimNode owner(&sim, &peers, "owner", kStrong);
+  owner.evacuations.SetMaxAge(kMaxAge);
+  sim.Run(Millis(2000));
+  ASSERT_NE(owner.agent->LocalOwner(), nullptr);
+  sim.Submit(FleetSim::MakeJob(kJob, 4000, 400));
+  sim.Run(Millis(1000));
+  owner.store.silent = true;
+  sim.store.Put(kKey, "{}");
+  sim.fleet.RecordEvacuation("a");
+  const int at_request = sim.fleet.StartsIn("a");
+  sim.Run(Millis(5000));
+  // For all that it knows the store is down.
+  EXPECT_GT(sim.fleet.StartsIn("a"), at_request);
+  sim.Run(Millis(15000));
+  EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
+}
+
 TEST(EvacuationKeysTest, OddKeysAndValuesDoNoHarmAndAreLoggedOnce) {
   FleetSim sim;
   LogCapture log;
--- a/unittests/Schedule/EvacuationPlanTest.cc
+++ b/unittests/Schedule/EvacuationPlanTest.cc
@@ -31,6 +31,7 @@
 std::vector<EvacuationRun> RunsOf(const StepSpec& step,
                                   const std::string& job) {
   std::vector<EvacuationRun> runs;
+  runs.reserve(static_cast<std::size_t>(step.count));
   for (int i = 0; i < step.count; ++i) {
     runs.push_back(
         {.task = {.job = job, .index = i}, .request = {.step = &step}});
@@ -105,6 +106,7 @@
     }
   }
   std::vector<WorkerCapacity> workers;
+  workers.reserve(20);
   for (int i = 0; i < 20; ++i) {
     workers.push_back(MakeWorker("w" + std::to_string(i), 12000));
   }
