HTTP client: one buffer for a request, a small reader for usual responses

The library's request object allocates each field, its parser does so for responses, and each stage of a call armed and cancelled a timer. Now the head of a request is written into a string that the connection reuses and is sent with the body by one immediate write. ReadUsualHead reads heads of HTTP/1.1 with a stated length that arrive in the first read; the library's parser reads all others from the same bytes, as before. The timer of a deadline stays armed across the calls of a connection; a call still times out only after a turn of the loop that brought no bytes. Calls look their pool up once, by hash.

--- a/lib/Net/HttpClient.cc
+++ b/lib/Net/HttpClient.cc
@@ -2,13 +2,17 @@
 #include "basilusher/Net/HttpClient.h"
 
 #include <algorithm>
+#include <array>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
-#include <map>
 #include <optional>
+#include <string_view>
+#include <unordered_map>
 
 #include "IoLoopImpl.h"
+#include "ResponseHead.h"
 #include "basilusher/Support/Error.h"
 #include "basilusher/Support/Log.h"
 
@@ -28,6 +32,34 @@
   return !(n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
 }
 
+/// Methods whose requests state the length of an empty body.
+bool StatesEmptyBody(std::string_view method) {
+  return method == "POST" || method == "PUT" || method == "OPTIONS";
+}
+
+void AppendField(std::string* out, std::string_view name,
+                 std::string_view value) {
+  out->append(name).append(": ").append(value).append("\r\n");
+}
+
+/// Writes the head of `call` to `address` into `out`, whose room is reused.
+void WriteHead(const HttpCall& call, const std::string& address,
+               std::string* out) {
+  out->assign(call.method).append(" ").append(call.target);
+  out->append(" HTTP/1.1\r\n");
+  AppendField(out, "Host", address);
+  for (const HttpHeader& header : call.headers) {
+    AppendField(out, header.first, header.second);
+  }
+  if (!call.body.empty()) {
+    AppendField(out, "Content-Type", "application/json");
+  }
+  if (!call.body.empty() || StatesEmptyBody(call.method)) {
+    AppendField(out, "Content-Length", std::to_string(call.body.size()));
+  }
+  out->append("\r\n");
+}
+
 }  // namespace
 
 struct HttpClient::Shared {
@@ -41,6 +73,7 @@
     std::chrono::steady_clock::time_point deadline;
   };
   struct Pool {
+    std::string address;
     std::vector<std::shared_ptr<Connection>> idle;
     std::deque<Waiting> waiting;
     std::size_t open = 0;
@@ -48,25 +81,29 @@
 
   asio::io_context& context;
   HttpClientOptions options;
-  std::map<std::string, Pool> pools;
+  /// Connections and waiting calls keep a pointer to their pool; one that has
+  /// either is not erased.
+  std::unordered_map<std::string, Pool> pools;
   bool closed = false;
 };
 
 class HttpClient::Connection
     : public std::enable_shared_from_this<HttpClient::Connection> {
  public:
-  Connection(std::shared_ptr<Shared> shared, std::string address)
+  Connection(std::shared_ptr<Shared> shared, Shared::Pool* pool)
       : shared_(std::move(shared)),
-        address_(std::move(address)),
-        stream_(shared_->context) {}
+        pool_(pool),
+        address_(pool->address),
+        socket_(shared_->context),
+        deadline_timer_(shared_->context) {}
 
   bool Usable() {
     return std::chrono::steady_clock::now() - idle_since_ <
                shared_->options.idle_timeout &&
-           !IsStale(&stream_.socket());
+           !IsStale(&socket_);
   }
 
-  void CloseIdle() { stream_.close(); }
+  void CloseIdle() { Close(); }
 
   void Begin(Shared::Waiting job, bool connected) {
     done_ = std::move(job.done);
@@ -75,21 +112,13 @@
     begun_at_ = std::chrono::steady_clock::now();
     bytes_read_ = 0;
     reads_ = 0;
-    sent_ = false;
-    request_.emplace();
-    request_->version(11);
-    request_->method_string(job.call.method);
-    request_->target(job.call.target);
-    request_->set(http::field::host, address_);
-    for (const HttpHeader& header : job.call.headers) {
-      request_->set(header.first, header.second);
-    }
-    if (!job.call.body.empty()) {
-      request_->set(http::field::content_type, "application/json");
-    }
-    request_->body() = std::move(job.call.body);
-    request_->prepare_payload();
-    stream_.expires_at(deadline_);
+    reads_at_deadline_ = 0;
+    timed_out_ = false;
+    WriteHead(job.call, address_, &request_head_);
+    request_body_ = std::move(job.call.body);
+    target_ = std::move(job.call.target);
+    in_call_ = true;
+    ArmDeadline();
     if (connected) return Write();
     Tcp::endpoint endpoint;
     try {
@@ -101,15 +130,16 @@
       });
       return;
     }
-    stream_.async_connect(endpoint, [self = shared_from_this()](
+    socket_.async_connect(endpoint, [self = shared_from_this()](
                                         beast::error_code ec) {
       if (ec) {
         return self->Finish({.outcome = CallOutcome::kNotSent}, false,
-                            ec == beast::error::timeout);
+                            self->timed_out_);
       }
-      TuneSocket(&self->stream_.socket());
+      TuneSocket(&self->socket_);
+      self->socket_.non_blocking(true, ec);
       if (std::chrono::steady_clock::now() >= self->deadline_) {
-        // On a late loop this comes before the timeout of the stream.
+        // On a late loop this comes before the timer.
         return self->Finish({.outcome = CallOutcome::kNotSent}, true, false);
       }
       self->Write();
@@ -117,26 +147,138 @@
   }
 
  private:
+  void Close() {
+    beast::error_code ec;
+    socket_.close(ec);
+  }
+
+  /// Arms the timer of the call's deadline. It stays armed when the call has
+  /// ended, so that a busy connection sets it once for many calls.
+  void ArmDeadline() {
+    if (deadline_armed_ && deadline_timer_.expiry() <= deadline_) return;
+    deadline_armed_ = true;
+    deadline_timer_.expires_at(deadline_);
+    deadline_timer_.async_wait(
+        [self = shared_from_this()](beast::error_code ec) {
+          if (!ec) self->OnDeadlineTimer();
+        });
+  }
+
+  void OnDeadlineTimer() {
+    deadline_armed_ = false;
+    if (!in_call_) return;
+    if (std::chrono::steady_clock::now() < deadline_) return ArmDeadline();
+    if (reads_ != reads_at_deadline_) {
+      // Bytes that have come are read to the end: the call times out after a
+      // turn of the loop without any.
+      reads_at_deadline_ = reads_;
+      return ArmDeadline();
+    }
+    timed_out_ = true;
+    Close();
+  }
+
   void Write() {
-    sent_ = true;
-    http::async_write(
-        stream_, *request_,
-        [self = shared_from_this()](beast::error_code ec, std::size_t n) {
+    const std::size_t size = request_head_.size() + request_body_.size();
+    const std::array<asio::const_buffer, 2> parts = {
+        asio::buffer(request_head_), asio::buffer(request_body_)};
+    beast::error_code ec;
+    // Mostly the socket takes the whole request at once.
+    const std::size_t n = socket_.write_some(parts, ec);
+    if (!ec && n == size) return Read();
+    if (ec && ec != asio::error::would_block) {
+      asio::post(shared_->context, [self = shared_from_this()] {
+        self->Finish({.outcome = CallOutcome::kNotSent}, false,
+                     self->timed_out_);
+      });
+      return;
+    }
+    WriteRest(n);
+  }
+
+  /// Sends what is left of the request after its first `sent` bytes.
+  void WriteRest(std::size_t sent) {
+    request_head_ += request_body_;
+    request_body_.clear();
+    asio::async_write(
+        socket_, asio::buffer(request_head_) + sent,
+        [self = shared_from_this(), sent](beast::error_code ec, std::size_t n) {
           if (ec) {
             const CallOutcome outcome =
-                n == 0 ? CallOutcome::kNotSent : CallOutcome::kLost;
-            return self->Finish({.outcome = outcome}, false,
-                                ec == beast::error::timeout);
+                sent + n == 0 ? CallOutcome::kNotSent : CallOutcome::kLost;
+            return self->Finish({.outcome = outcome}, false, self->timed_out_);
           }
           self->Read();
         });
   }
 
   void Read() {
+    read_size_ = kFirstRead;
+    socket_.async_read_some(
+        buffer_.prepare(read_size_),
+        [self = shared_from_this()](beast::error_code ec, std::size_t n) {
+          self->buffer_.commit(n);
+          self->bytes_read_ += n;
+          ++self->reads_;
+          self->OnFirstRead(ec);
+        });
+  }
+
+  void OnFirstRead(beast::error_code ec) {
+    if (ec) {
+      return Finish({.outcome = CallOutcome::kLost}, false, timed_out_);
+    }
+    const asio::const_buffer bytes = buffer_.data();
+    const std::optional<ResponseHead> head =
+        ReadUsualHead({static_cast<const char*>(bytes.data()), bytes.size()});
+    if (!head || head->content_length > shared_->options.max_body_bytes) {
+      return BeginParser();
+    }
+    buffer_.consume(head->bytes);
+    status_ = head->status;
+    keep_alive_ = head->keep_alive;
+    body_left_ = head->content_length;
+    TakeBody();
+  }
+
+  /// Moves what the buffer holds of the body to it; reads on if more is due.
+  void TakeBody() {
+    const asio::const_buffer bytes = buffer_.data();
+    const std::size_t n = std::min(bytes.size(), body_left_);
+    body_.append(static_cast<const char*>(bytes.data()), n);
+    buffer_.consume(n);
+    body_left_ -= n;
+    if (body_left_ == 0) {
+      // Bytes beyond the answer would be taken for the next one.
+      const bool keep = keep_alive_ && buffer_.size() == 0;
+      return Finish({.outcome = CallOutcome::kAnswered,
+                     .status = status_,
+                     .body = std::move(body_)},
+                    keep, false);
+    }
+    read_size_ = std::min(read_size_ * 2, kLargestRead);
+    socket_.async_read_some(
+        buffer_.prepare(read_size_),
+        [self = shared_from_this()](beast::error_code ec, std::size_t read) {
+          self->buffer_.commit(read);
+          self->bytes_read_ += read;
+          ++self->reads_;
+          if (ec) {
+            return self->Finish({.outcome = CallOutcome::kLost}, false,
+                                self->timed_out_);
+          }
+          self->TakeBody();
+        });
+  }
+
+  /// Reads an unusual answer, whose first bytes are in the buffer, with the
+  /// library's parser.
+  void BeginParser() {
     parser_.emplace();
     parser_->body_limit(shared_->options.max_body_bytes);
     parser_->eager(true);
-    read_size_ = kFirstRead;
+    // The library reports the bytes that are in the buffer as read again.
+    bytes_read_ -= buffer_.size();
     ReadSome();
   }
 
@@ -144,7 +286,7 @@
     // The library reads as much as the buffer has room for.
     buffer_.reserve(buffer_.size() + read_size_);
     http::async_read_some(
-        stream_, buffer_, *parser_,
+        socket_, buffer_, *parser_,
         [self = shared_from_this()](beast::error_code ec, std::size_t n) {
           self->bytes_read_ += n;
           ++self->reads_;
@@ -154,8 +296,7 @@
 
   void OnRead(beast::error_code ec) {
     if (ec) {
-      return Finish({.outcome = CallOutcome::kLost}, false,
-                    ec == beast::error::timeout);
+      return Finish({.outcome = CallOutcome::kLost}, false, timed_out_);
     }
     if (!parser_->is_done()) {
       read_size_ = std::min(read_size_ * 2, kLargestRead);
@@ -181,7 +322,7 @@
     };
     LogEvent(LogLevel::kWarning, "call-overdue",
              {{"address", address_},
-              {"target", request_ ? request_->target().to_string() : ""},
+              {"target", target_},
               {"took_ms", millis(now - called_at_)},
               {"waited_ms", millis(begun_at_ - called_at_)},
               {"timeout_ms", millis(deadline_ - called_at_)},
@@ -194,11 +335,13 @@
   void Finish(HttpAnswer answer, bool reusable, bool timed_out) {
     const std::shared_ptr<Connection> self = shared_from_this();
     LogIfOverdue(answer, timed_out);
-    request_.reset();
+    in_call_ = false;
     parser_.reset();
+    request_body_ = std::string();
+    body_ = std::string();
     const HttpCallback done = std::move(done_);
     done_ = nullptr;
-    Shared::Pool& pool = shared_->pools[address_];
+    Shared::Pool& pool = *pool_;
     if (timed_out) {
       for (const std::shared_ptr<Connection>& it : pool.idle) {
         it->CloseIdle();
@@ -206,24 +349,27 @@
       }
       pool.idle.clear();
     }
-    if (reusable && !shared_->closed) {
-      stream_.expires_never();
+    // The timer closes the connection of a call whose last read has ended, but
+    // whose handler is yet to run.
+    if (reusable && !timed_out_ && !shared_->closed) {
       idle_since_ = std::chrono::steady_clock::now();
       if (buffer_.capacity() > kKeptBuffer) buffer_ = beast::flat_buffer();
       pool.idle.push_back(self);
     } else {
-      stream_.close();
+      Close();
+      // The timer may keep this connection for a while.
+      buffer_ = beast::flat_buffer();
       --pool.open;
     }
-    if (!shared_->closed) StartNext(shared_, address_);
+    if (!shared_->closed) StartNext(shared_, &pool);
     if (done) done(answer);
   }
 
  public:
   /// Gives waiting calls connections while the pool's bound allows it.
   static void StartNext(const std::shared_ptr<Shared>& shared,
-                        const std::string& address) {
-    Shared::Pool& pool = shared->pools[address];
+                        Shared::Pool* waiting_pool) {
+    Shared::Pool& pool = *waiting_pool;
     while (!pool.waiting.empty()) {
       if (pool.waiting.front().deadline <= std::chrono::steady_clock::now()) {
         // Sent now, it would be carried out after its caller gave it up.
@@ -247,7 +393,7 @@
       const bool connected = connection != nullptr;
       if (!connected) {
         if (pool.open >= shared->options.max_connections_per_address) return;
-        connection = std::make_shared<Connection>(shared, address);
+        connection = std::make_shared<Connection>(shared, &pool);
         ++pool.open;
       }
       Shared::Waiting job = std::move(pool.waiting.front());
@@ -265,13 +411,25 @@
   static constexpr std::size_t kLargestRead = std::size_t{64} * 1024;
 
   std::shared_ptr<Shared> shared_;
+  Shared::Pool* pool_;
   std::string address_;
-  beast::tcp_stream stream_;
+  Tcp::socket socket_;
+  asio::steady_timer deadline_timer_;
+  bool deadline_armed_ = false;
   beast::flat_buffer buffer_;
-  std::optional<http::request<http::string_body>> request_;
+  bool in_call_ = false;
+  /// The call's timeout has closed the connection.
+  bool timed_out_ = false;
+  std::string request_head_;
+  std::string request_body_;
+  std::string target_;
+  /// Of an answer with a usual head; others are in `parser_`.
+  int status_ = 0;
+  bool keep_alive_ = false;
+  std::size_t body_left_ = 0;
+  std::string body_;
   std::optional<http::response_parser<http::string_body>> parser_;
   HttpCallback done_;
-  bool sent_ = false;
   std::chrono::steady_clock::time_point called_at_;
   /// When the call got its connection.
   std::chrono::steady_clock::time_point begun_at_;
@@ -279,6 +437,8 @@
   std::size_t bytes_read_ = 0;
   std::size_t read_size_ = kFirstRead;
   int reads_ = 0;
+  /// Reads until the deadline's timer last ran.
+  int reads_at_deadline_ = 0;
   std::chrono::steady_clock::time_point idle_since_;
 };
 
@@ -292,9 +452,10 @@
   const std::chrono::steady_clock::time_point now =
       std::chrono::steady_clock::now();
   const std::chrono::steady_clock::time_point deadline = now + call.timeout;
-  shared_->pools[address].waiting.push_back(
-      {std::move(call), std::move(done), now, deadline});
-  Connection::StartNext(shared_, address);
+  Shared::Pool& pool = shared_->pools[address];
+  if (pool.address.empty()) pool.address = address;
+  pool.waiting.push_back({std::move(call), std::move(done), now, deadline});
+  Connection::StartNext(shared_, &pool);
 }
 
 void HttpClient::Forget(const std::string& address) {
--- a/lib/Net/IoLoop.cc
+++ b/lib/Net/IoLoop.cc
@@ -60,17 +60,36 @@
              sizeof(timeout));
 }
 
+std::unique_ptr<IoLoop::Impl::Timer> IoLoop::Impl::TakeTimer() {
+  if (spare_timers.empty()) return std::make_unique<Timer>(&context);
+  std::unique_ptr<Timer> timer = std::move(spare_timers.back());
+  spare_timers.pop_back();
+  return timer;
+}
+
+void IoLoop::Impl::ReturnTimer(std::unique_ptr<Timer> timer) {
+  timer->task = nullptr;
+  if (spare_timers.size() < kMaxSpareTimers) {
+    spare_timers.push_back(std::move(timer));
+  }
+}
+
 IoLoop::IoLoop() : impl_(std::make_unique<Impl>()) { signal(SIGPIPE, SIG_IGN); }
 
 IoLoop::~IoLoop() = default;
 
 void IoLoop::After(Millis delay, std::function<void()> task) {
-  std::shared_ptr<asio::steady_timer> timer =
-      std::make_shared<asio::steady_timer>(impl_->context, delay);
-  timer->async_wait(
-      [timer, task = std::move(task)](const boost::system::error_code& ec) {
-        if (!ec) task();
-      });
+  std::unique_ptr<Impl::Timer> timer = impl_->TakeTimer();
+  timer->task = std::move(task);
+  asio::steady_timer& waiting = timer->timer;
+  waiting.expires_after(delay);
+  waiting.async_wait([impl = impl_.get(), timer = std::move(timer)](
+                         const boost::system::error_code& ec) mutable {
+    if (ec) return;
+    const std::function<void()> due = std::move(timer->task);
+    impl->ReturnTimer(std::move(timer));
+    due();
+  });
 }
 
 void IoLoop::OnSignals(std::function<void()> stop,
