--- a/lib/Support/Counters.cc
+++ b/lib/Support/Counters.cc
@@ -5,35 +5,48 @@
 
 namespace basilusher {
 
-Counters::Cell* Counters::Get(const std::string& name) {
+Counters::Cell* Counters::Find(std::string_view name) {
+  const auto it = cells_.find(name);
+  if (it != cells_.end()) return it->second.get();
+  return cells_.emplace(name, std::make_unique<Cell>(0)).first->second.get();
+}
+
+Counters::Cell* Counters::Get(std::string_view name) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  std::unique_ptr<Cell>& cell = cells_[name];
-  if (cell == nullptr) cell = std::make_unique<Cell>(0);
-  return cell.get();
+  return Find(name);
 }
 
-void Counters::Add(const std::string& name, std::int64_t n) {
+void Counters::Add(std::string_view name, std::int64_t n) {
   Get(name)->fetch_add(n, std::memory_order_relaxed);
 }
 
-void Counters::Set(const std::string& name, std::int64_t value) {
+void Counters::Set(std::string_view name, std::int64_t value) {
   Get(name)->store(value, std::memory_order_relaxed);
 }
 
-void Counters::Observe(const std::string& name, std::int64_t value) {
-  // Milliseconds, from a local answer to a job that is hopelessly late.
-  static constexpr std::int64_t kBounds[] = {
-      5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10000, 30000};
-  for (const std::int64_t bound : kBounds) {
-    if (value <= bound) {
-      Add(name + "_bucket{le=\"" + std::to_string(bound) + "\"}");
+void Counters::Observe(std::string_view name, std::int64_t value) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  auto it = histograms_.find(name);
+  if (it == histograms_.end()) {
+    it = histograms_.emplace(name, Histogram()).first;
+    it->second.count = Find(it->first + "_count");
+    it->second.sum = Find(it->first + "_sum");
+  }
+  Histogram& histogram = it->second;
+  for (std::size_t i = 0; i < kBounds.size(); ++i) {
+    if (value > kBounds[i]) continue;
+    Cell*& bucket = histogram.buckets[i];
+    if (bucket == nullptr) {
+      bucket = Find(it->first + "_bucket{le=\"" + std::to_string(kBounds[i]) +
+                    "\"}");
     }
+    bucket->fetch_add(1, std::memory_order_relaxed);
   }
-  Add(name + "_count");
-  Add(name + "_sum", value);
+  histogram.count->fetch_add(1, std::memory_order_relaxed);
+  histogram.sum->fetch_add(value, std::memory_order_relaxed);
 }
 
-std::int64_t Counters::Value(const std::string& name) const {
+std::int64_t Counters::Value(std::string_view name) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto it = cells_.find(name);
   return it == cells_.end() ? 0 : it->second->load(std::memory_order_relaxed);
