--- a/include/basilusher/Partition/Recorder.h
+++ b/include/basilusher/Partition/Recorder.h
@@ -83,10 +83,12 @@
   void ScheduleFlush();
   void Flush();
   Txn MakeTxn(const Batch& batch) const;
-  void Send(std::shared_ptr<Batch> batch, Txn txn);
-  void OnAnswer(const std::shared_ptr<Batch>& batch, const Txn& txn,
+  void Send(std::shared_ptr<Batch> batch, std::shared_ptr<const Txn> txn);
+  void OnAnswer(const std::shared_ptr<Batch>& batch,
+                const std::shared_ptr<const Txn>& txn,
                 const StoreAnswer& answer);
-  void OnStored(const Batch& batch, std::int64_t revision);
+  /// Ends the writes of `batch`, whose waiters are called.
+  void OnStored(Batch* batch, std::int64_t revision);
   void OnConflict(const std::shared_ptr<Batch>& batch,
                   const StoreAnswer& answer);
   void FinishWrite(JobWrite* write);
--- a/lib/Partition/Recorder.cc
+++ b/lib/Partition/Recorder.cc
@@ -87,7 +87,7 @@
     dirty_order_.insert(dirty_order_.begin(), deferred.begin(), deferred.end());
     if (batch->empty()) return;
     ++in_flight_;
-    Send(batch, MakeTxn(*batch));
+    Send(batch, std::make_shared<const Txn>(MakeTxn(*batch)));
   }
 }
 
@@ -113,19 +113,21 @@
   return txn;
 }
 
-void Recorder::Send(std::shared_ptr<Batch> batch, Txn txn) {
+void Recorder::Send(std::shared_ptr<Batch> batch,
+                    std::shared_ptr<const Txn> txn) {
   const std::shared_ptr<Recorder> self = shared_from_this();
-  store_->Commit(txn, [self, batch, txn](const StoreAnswer& answer) {
+  store_->Commit(*txn, [self, batch, txn](const StoreAnswer& answer) {
     if (!self->closed_) self->OnAnswer(batch, txn, answer);
   });
 }
 
-void Recorder::OnAnswer(const std::shared_ptr<Batch>& batch, const Txn& txn,
+void Recorder::OnAnswer(const std::shared_ptr<Batch>& batch,
+                        const std::shared_ptr<const Txn>& txn,
                         const StoreAnswer& answer) {
   switch (answer.status) {
     case TxnStatus::kOk:
       --in_flight_;
-      OnStored(*batch, answer.revision);
+      OnStored(batch.get(), answer.revision);
       ScheduleFlush();
       return;
     case TxnStatus::kConflict:
@@ -148,9 +150,8 @@
   write->waiters.clear();
 }
 
-void Recorder::OnStored(const Batch& batch, std::int64_t revision) {
-  Batch writes = batch;
-  for (JobWrite& write : writes) {
+void Recorder::OnStored(Batch* batch, std::int64_t revision) {
+  for (JobWrite& write : *batch) {
     writing_.erase(write.job);
     if (write.snapshot.final) {
       revisions_.erase(write.job);
@@ -159,7 +160,7 @@
       revisions_[write.job] = revision;
     }
   }
-  for (JobWrite& write : writes) FinishWrite(&write);
+  for (JobWrite& write : *batch) FinishWrite(&write);
 }
 
 void Recorder::OnConflict(const std::shared_ptr<Batch>& batch,
@@ -190,7 +191,7 @@
       const StoredItem& item = current[keys_.progress_prefix + write.job];
       revision = std::max(revision, item.revision);
     }
-    OnStored(*batch, revision);
+    OnStored(batch.get(), revision);
     Flush();
     return;
   }
