--- a/unittests/Cost/OwnerWireCost.cc
+++ b/unittests/Cost/OwnerWireCost.cc
@@ -21,6 +21,7 @@
 #include <string>
 #include <vector>
 
+#include "InstanceClient.h"
 #include "StoreClient.h"
 #include "WorkerClient.h"
 #include "basilusher/Support/Base64.h"
@@ -59,11 +60,25 @@
   return R"({"CurrentRev":9010,"events":[)" + rows + "]}";
 }
 
+std::string InstancesBody() {
+  std::string rows;
+  for (int i = 0; i < 20; ++i) {
+    if (i > 0) rows += ",";
+    const std::string number = std::to_string(1000 + i);
+    rows += R"({"HostId":"host-)" + number + R"(","Id":"worker-)" + number +
+            R"(","Pool":"wear-sort","Zone":"zone-b","State":"up",)"
+            R"("Labels":["kind-c","rack-17"],)"
+            R"("Room":{"Cpu":16000,"MemMb":65536,"Gpu":0}})";
+  }
+  return R"({"Machines":[)" + rows + "]}";
+}
+
 /// The answer to a request whose first bytes are `head`.
 std::string ResponseTo(const std::string& head) {
   std::string body = R"({"ClockMs":1234567})";
   if (head.find("/hold ") != std::string::npos) body = HoldBody();
   if (head.find("/kv-watch") != std::string::npos) body = WatchBody();
+  if (head.find("/machines") != std::string::npos) body = InstancesBody();
   if (head.find("/kv-txn") != std::string::npos) body = R"({"Rev":9011})";
   return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
          "Content-Length: " +
@@ -187,6 +202,7 @@
   HttpClient http(loop, {});
   WorkerClient workers(&http, &http);
   StoreClient store(&http, address);
+  InstanceClient instances(&http, address, "node-17");
   Counters counters;
   const WorkerAddress worker = {.id = "worker-1234-abcd", .address = address};
   const StartCommand start = SampleStart();
@@ -213,6 +229,10 @@
       store.Watch("jobs/inbox/", 9000, Millis(0),
                   [done = std::move(done)](const StoreAnswer&) { done(); });
     });
+  } else if (part == "instances") {
+    RunCalls(loop, count, [&](std::function<void()> done) {
+      instances.List([done = std::move(done)](const InstanceList&) { done(); });
+    });
   } else if (part == "timer") {
     RunCalls(loop, count, [&](std::function<void()> done) {
       loop->After(Millis(0), std::move(done));
@@ -249,7 +269,8 @@
   const int count = argc == 3 ? std::atoi(argv[2]) : -1;
   if (count < 0 || count > kMaxCount) {
     std::fputs(
-        "usage: OwnerWireCost hold|start|commit|watch|timer|log|counters "
+        "usage: OwnerWireCost "
+        "hold|start|commit|watch|instances|timer|log|counters "
         "COUNT\n",
         stderr);
     return 2;
