--- a/unittests/Net/HttpClientOddHeadTest.cc
+++ b/unittests/Net/HttpClientOddHeadTest.cc
@@ -78,7 +78,7 @@
     ReadHead();
     for (const std::string& piece : pieces) Send(piece);
     if (closes) socket_.close();
-    const HttpAnswer answer = Await();
+    HttpAnswer answer = Await();
     client_.Forget(address_);
     socket_ = Tcp::socket(context_);
     return answer;
--- a/unittests/Net/ResponseHeadTest.cc
+++ b/unittests/Net/ResponseHeadTest.cc
@@ -105,8 +105,7 @@
         "HTTP/1.1 204 x\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 100 x\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked"
-        "\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: x\r\nContent-Length: 5\r\n\r\n",
         "HTTP/1.1 200 OK\nContent-Length: 5\n\n"}) {
     EXPECT_FALSE(ReadUsualHead(text).has_value()) << text;
   }
--- a/unittests/Platform/AnyJson.h
+++ b/unittests/Platform/AnyJson.h
@@ -22,39 +22,38 @@
 
 /// A value of any type, among them numbers at the limits.
 inline Json AnyValue() {
-  static const std::vector<Json> kValues = {
-      0,
-      1,
-      17,
-      100,
-      101,
-      -1,
-      1.5,
-      2.0,
-      -0.0,
-      1e30,
-      std::int64_t{1} << 53,
-      (std::int64_t{1} << 53) + 1,
-      std::int64_t{9223372036854775807},
-      std::uint64_t{9223372036854775808U},
-      std::uint64_t{18446744073709551615U},
-      "",
-      "done",
-      "fence",
-      "a.0.1.2",
-      "a.0.1",
-      "dmFsdWU=",
-      "no base64!",
-      "\xc3\xa4\n\"",
-      nullptr,
-      true,
-      false,
-      Json::array(),
-      Json::object(),
-      {1, {2, {{"ClockMs", 5}}}},
-      {{"Key", "k"}, {"ClockMs", {1}}}};
-  return kValues[static_cast<std::size_t>(
-      AnyBelow(static_cast<int>(kValues.size())))];
+  static const std::vector<Json> values = {0,
+                                           1,
+                                           17,
+                                           100,
+                                           101,
+                                           -1,
+                                           1.5,
+                                           2.0,
+                                           -0.0,
+                                           1e30,
+                                           std::int64_t{1} << 53,
+                                           (std::int64_t{1} << 53) + 1,
+                                           std::int64_t{9223372036854775807},
+                                           std::uint64_t{9223372036854775808U},
+                                           std::uint64_t{18446744073709551615U},
+                                           "",
+                                           "done",
+                                           "fence",
+                                           "a.0.1.2",
+                                           "a.0.1",
+                                           "dmFsdWU=",
+                                           "no base64!",
+                                           "\xc3\xa4\n\"",
+                                           nullptr,
+                                           true,
+                                           false,
+                                           Json::array(),
+                                           Json::object(),
+                                           {1, {2, {{"ClockMs", 5}}}},
+                                           {{"Key", "k"}, {"ClockMs", {1}}}};
+  return values[static_cast<std::size_t>(
+      AnyBelow(static_cast<int>(values.size())))];
 }
 
 /// The object with `fields`, whose order and repetitions are kept.
