--- a/unittests/Partition/FleetSim.cc
+++ b/unittests/Partition/FleetSim.cc
@@ -95,7 +95,7 @@
   const std::int64_t revision = store.Put(keys.owner, std::to_string(term_));
   owner = std::make_shared<PartitionOwner>(
       OwnerDependencies{.store = connection.get(),
-                        .workers = &fleet,
+                        .workers = workers,
                         .instances = instances,
                         .advisor = advisor,
                         .timers = &timers,
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -403,6 +403,7 @@
   /// What later owners use.
   PlacementAdvisor* advisor = nullptr;
   InstanceProvider* instances = &fleet;
+  WorkerGateway* workers = &fleet;
   Catalog catalog;
   std::shared_ptr<PartitionOwner> owner;
   std::vector<std::shared_ptr<PartitionOwner>> former_owners;
