Look at a worker's room first when one is chosen

ChooseWorker computed the charge of the step for each worker through calls into another file and asked for labels, tickets and siblings before it knew whether the worker would be chosen. It now compares the room in place, and asks only where the worker costs less than the best so far.

--- a/lib/Schedule/Placement.cc
+++ b/lib/Schedule/Placement.cc
@@ -29,7 +29,31 @@
          static_cast<double>(worker.room.cpu_millis);
 }
 
-double Cost(const PlacementRequest& request, const WorkerCapacity& worker) {
+/// True if `charge` fits into what is free on the worker. Evaluated for each
+/// worker of a pool and each task.
+bool HasRoom(const Resources& charge, const WorkerCapacity& worker) {
+  return charge.cpu_millis <= worker.room.cpu_millis - worker.used.cpu_millis &&
+         charge.memory_mb <= worker.room.memory_mb - worker.used.memory_mb &&
+         charge.accelerators <=
+             worker.room.accelerators - worker.used.accelerators;
+}
+
+/// The conditions of CanPlace() other than room, the cheapest first.
+bool IsEligible(const PlacementRequest& request, const WorkerCapacity& worker) {
+  const StepSpec& step = *request.step;
+  if (!step.required_label.empty() &&
+      std::find(worker.labels.begin(), worker.labels.end(),
+                step.required_label) == worker.labels.end()) {
+    return false;
+  }
+  if (request.allowed && !request.allowed(worker)) return false;
+  return step.max_per_worker <= 0 || !request.count_siblings ||
+         request.count_siblings(worker) < step.max_per_worker;
+}
+
+/// `rack` is the rack that the task prefers; empty if none.
+double Cost(const PlacementRequest& request, const std::string& rack,
+            const WorkerCapacity& worker) {
   const StepSpec& step = *request.step;
   double cost = FreeShare(worker) * kFreeShare;
   if (worker.lasting == 0) cost += kNoLastingTasks;
@@ -41,8 +65,6 @@
     cost += worker.tasks * kTaskAtRisk;
     if (worker.recent_start) cost += kRecentStart;
   }
-  const std::string& rack =
-      step.preferred_rack.empty() ? request.rack : step.preferred_rack;
   if (!rack.empty() && worker.rack != rack) cost += kFarFromData;
   // Fillers slow down tasks that serve users: keep the two on separate workers
   // while capacity allows it.
@@ -60,17 +82,8 @@
 }
 
 bool CanPlace(const PlacementRequest& request, const WorkerCapacity& worker) {
-  const StepSpec& step = *request.step;
-  if (worker.isolated) return false;
-  if (!Fits(Charge(step), worker.room - worker.used)) return false;
-  if (!step.required_label.empty() &&
-      std::find(worker.labels.begin(), worker.labels.end(),
-                step.required_label) == worker.labels.end()) {
-    return false;
-  }
-  if (request.allowed && !request.allowed(worker)) return false;
-  return step.max_per_worker <= 0 || !request.count_siblings ||
-         request.count_siblings(worker) < step.max_per_worker;
+  return !worker.isolated && HasRoom(Charge(*request.step), worker) &&
+         IsEligible(request, worker);
 }
 
 bool FullPoolMemo::HasNoRoomFor(const Resources& charge) const {
@@ -83,21 +96,26 @@
                 const std::vector<WorkerCapacity*>& workers) {
   return std::any_of(workers.begin(), workers.end(),
                      [&charge](const WorkerCapacity* worker) {
-                       return Fits(charge, worker->room - worker->used);
+                       return HasRoom(charge, *worker);
                      });
 }
 
 WorkerCapacity* ChooseWorker(const PlacementRequest& request,
                              const std::vector<WorkerCapacity*>& workers) {
+  const Resources charge = Charge(*request.step);
+  const std::string& rack = request.step->preferred_rack.empty()
+                                ? request.rack
+                                : request.step->preferred_rack;
   WorkerCapacity* best = nullptr;
   double best_cost = 0;
   for (WorkerCapacity* worker : workers) {
-    if (!CanPlace(request, *worker)) continue;
-    const double cost = Cost(request, *worker);
-    if (best == nullptr || cost < best_cost) {
-      best = worker;
-      best_cost = cost;
-    }
+    if (!HasRoom(charge, *worker) || worker->isolated) continue;
+    const double cost = Cost(request, rack, *worker);
+    // Whether a worker that costs no less may run the task does not matter.
+    if (best != nullptr && !(cost < best_cost)) continue;
+    if (!IsEligible(request, *worker)) continue;
+    best = worker;
+    best_cost = cost;
   }
   return best;
 }
