Keep the order of equally urgent jobs

std::sort leaves open how equally urgent jobs follow one another, so a part of the list would be ordered differently than within the whole list. The sort is stable now: equally urgent jobs keep the order of the job table. This changes which of two equally urgent jobs starts first.

--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -226,7 +226,8 @@
                              const PlacementCandidate& b) {
     return a.urgency < b.urgency;
   };
-  std::sort(candidates.begin(), candidates.end(), by_urgency);
+  // Equally urgent jobs keep the order of the job table.
+  std::stable_sort(candidates.begin(), candidates.end(), by_urgency);
   DeferUnservable(&candidates, pools);
   std::stable_sort(candidates.begin(), candidates.end(), by_urgency);
   for (const PlacementCandidate& candidate : candidates) PlaceJob(candidate);
