Rank only the jobs of pools in which a task may start

Each round ranked all jobs and built lists by pool name, while most rounds find no room or no step that is ready. A round now collects the ready steps, then the workers, and ranks the jobs of those pools where a worker has room for one of them and a task may start now; otherwise it ends. The list of instances no longer compares each known worker with each instance.

--- a/include/basilusher/Jobs/JobTable.h
+++ b/include/basilusher/Jobs/JobTable.h
@@ -3,6 +3,7 @@
 #ifndef BASILUSHER_JOBS_JOBTABLE_H_
 #define BASILUSHER_JOBS_JOBTABLE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -113,6 +114,8 @@
 
 struct JobRecord {
   JobSpec spec;
+  /// Number that the job's table has given to `spec.queue`, from 0.
+  std::size_t queue_number = 0;
   JobState state = JobState::kQueued;
   /// Occurrences in progress, by number.
   std::map<int, OccurrenceRecord> occurrences;
@@ -164,6 +167,8 @@
 
  private:
   std::unordered_map<std::string, std::unique_ptr<JobRecord>> jobs_;
+  /// Numbers of the queues that jobs have named so far.
+  std::unordered_map<std::string, std::size_t> queue_numbers_;
 };
 
 /// Adds the occurrences that are due at `unix_ms` while fewer than `most` are
--- a/include/basilusher/Partition/OwnerOptions.h
+++ b/include/basilusher/Partition/OwnerOptions.h
@@ -103,6 +103,9 @@
   Millis max_view_age{1700};
   /// Time for which an answer of the store confirms the term.
   Millis term_lease{1500};
+  /// Each round of placement ranks the jobs of all pools, also of those in
+  /// which nothing can start. The decisions are the same; for tests of that.
+  bool rank_all_pools = false;
 };
 
 }  // namespace basilusher
--- a/include/basilusher/Partition/OwnerState.h
+++ b/include/basilusher/Partition/OwnerState.h
@@ -101,6 +101,8 @@
   std::set<std::string> changed;
 };
 
+struct PoolWorkers;
+
 /// What this owner knows of one worker.
 struct WorkerState {
   WorkerEntry entry;
@@ -119,6 +121,9 @@
   /// move or for maintenance.
   bool reserved = false;
   WorkerCapacity capacity;
+  /// Its pool in rounds of placement, RoundPools::Named(capacity.pool); null
+  /// until a directory entry names the pool.
+  PoolWorkers* pool = nullptr;
   OutlierDetector outlier_detector;
   FillerPaceController pace;
   std::shared_ptr<WorkerLink> link;
@@ -217,18 +222,13 @@
   bool changed = false;
 };
 
-/// Usable workers of one pool in a round of placement.
-struct PoolWorkers {
-  std::vector<WorkerCapacity*> healthy;
-  /// Also the suspect ones.
-  std::vector<WorkerCapacity*> all;
-  /// Cores of the healthy workers that lasting tasks leave to other tasks.
-  double cores = 0;
-  /// Work that is left of the other tasks that run, core-milliseconds.
-  double running_core_ms = 0;
-  /// Charges without room on the healthy workers, and on all.
-  FullPoolMemo full_if_healthy;
-  FullPoolMemo full;
+/// A step with waiting tasks in a round of placement.
+struct WaitingStep {
+  const JobRecord* job = nullptr;
+  const StepRecord* record = nullptr;
+  const StepSpec* spec = nullptr;
+  /// The steps on which it depends are done.
+  bool ready = false;
 };
 
 /// A job with waiting tasks in a round of placement.
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -23,6 +23,7 @@
 #include "basilusher/Partition/OwnerState.h"
 #include "basilusher/Partition/OwnerWaitReport.h"
 #include "basilusher/Partition/Recorder.h"
+#include "basilusher/Partition/RoundPools.h"
 #include "basilusher/Schedule/AdviceCache.h"
 #include "basilusher/Schedule/PoolPlan.h"
 #include "basilusher/Schedule/WavePlan.h"
@@ -335,19 +336,33 @@
   /// True if a later owner may use an incarnation of the worker that would
   /// still accept this owner's commands.
   bool MayBelongToLaterOwner(const WorkerState& worker) const;
-  std::map<std::string, PoolWorkers> CollectWorkers(TimePoint now);
-  /// Returns the jobs with waiting tasks and adds up what their pools run.
-  std::vector<PlacementCandidate> CollectCandidates(
-      std::map<std::string, PoolWorkers>* pools, TimePoint now);
+  /// Begins a round: the usable workers of each pool.
+  void CollectWorkers(TimePoint now);
+  /// Lets tasks start again on workers whose isolation has ended; part of
+  /// CollectWorkers().
+  void EndIsolation(TimePoint now);
+  /// Collects the steps for which a round may do something, whatever room there
+  /// is.
+  void CollectWaitingSteps();
+  /// Opens the pools in which a task of these steps may start, or be asked for.
+  /// Returns false if there is none: then the round has nothing to do.
+  bool OpenPools(TimePoint now);
+  /// True if a task of the step may start on `workers`, or the advisor may be
+  /// asked about it. False only if the round would do nothing for the step.
+  bool MayPlace(const WaitingStep& step, CandidateWorkers* workers) const;
+  /// Returns the jobs of open pools with waiting tasks and adds up what these
+  /// pools run.
+  std::vector<PlacementCandidate> CollectCandidates(TimePoint now);
   /// Ranks the jobs that their pools can't serve in time behind the others.
-  void DeferUnservable(std::vector<PlacementCandidate>* candidates,
-                       const std::map<std::string, PoolWorkers>& pools);
+  void DeferUnservable(std::vector<PlacementCandidate>* candidates);
+  /// Counts the jobs that were ranked behind others.
+  void ReportDeferred();
   /// Cores of the instances that are on their way to each pool.
   std::map<std::string, double> ArrivingCores() const;
+  // OwnerPlacing.cc.
   void PlaceJob(const PlacementCandidate& candidate);
   void PlaceStep(JobRecord* job, int occurrence, int step,
-                 const std::vector<WorkerCapacity*>& workers,
-                 FullPoolMemo* full);
+                 CandidateWorkers* candidates);
   void PlaceGang(JobRecord* job, int occurrence, int step,
                  const std::vector<WorkerCapacity*>& workers);
   /// Upper bound of what orphaned runs may use on unread workers, by workspace.
@@ -483,6 +498,10 @@
   OwnerOptions options_;
   Listener listener_;
   std::shared_ptr<const Catalog> catalog_;
+  QueueTable queues_;
+  RoundPools round_pools_;
+  /// Of the present round; kept for its memory.
+  std::vector<WaitingStep> waiting_steps_;
   std::shared_ptr<Recorder> recorder_;
   std::shared_ptr<StoreWatcher> inbox_;
   std::shared_ptr<StoreWatcher> directory_;
--- a/include/basilusher/Schedule/Placement.h
+++ b/include/basilusher/Schedule/Placement.h
@@ -7,6 +7,7 @@
 #define BASILUSHER_SCHEDULE_PLACEMENT_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,8 @@
   /// True if there is no room for `charge`, since there was none for another
   /// one that needs at most as much in every dimension.
   bool HasNoRoomFor(const Resources& charge) const;
+  /// Begins another round.
+  void Clear() { without_room_.clear(); }
 
  private:
   std::vector<Resources> without_room_;
@@ -86,6 +89,28 @@
 bool AnyHasRoom(const Resources& charge,
                 const std::vector<WorkerCapacity*>& workers);
 
+/// Workers among which tasks are placed in one round, and what is known of
+/// their room. Used again in the next round, so that its memory is. Not
+/// thread-safe.
+class CandidateWorkers {
+ public:
+  /// Begins a round without workers.
+  void Clear();
+  void Add(WorkerCapacity* worker) { workers_.push_back(worker); }
+  const std::vector<WorkerCapacity*>& Workers() const { return workers_; }
+  FullPoolMemo* Full() { return &full_; }
+  /// False if no worker has room for `charge`. The answer holds until the end
+  /// of the round, during which free capacity only shrinks.
+  bool MayHold(const Resources& charge);
+
+ private:
+  std::vector<WorkerCapacity*> workers_;
+  FullPoolMemo full_;
+  /// Maximum of what is free on any of the workers, in each dimension, once it
+  /// is asked for.
+  std::optional<Resources> most_free_;
+};
+
 /// Returns the worker with the lowest placement cost; null if no worker can
 /// take the task. Thread-safe.
 WorkerCapacity* ChooseWorker(const PlacementRequest& request,
--- a/lib/Jobs/JobTable.cc
+++ b/lib/Jobs/JobTable.cc
@@ -93,6 +93,9 @@
   if (job_record != nullptr) return job_record.get();
   job_record = std::make_unique<JobRecord>();
   job_record->spec = std::move(spec);
+  job_record->queue_number =
+      queue_numbers_.try_emplace(job_record->spec.queue, queue_numbers_.size())
+          .first->second;
   job_record->accepted_at = accepted_at;
   return job_record.get();
 }
--- a/lib/Partition/OwnerConfiguration.cc
+++ b/lib/Partition/OwnerConfiguration.cc
@@ -14,6 +14,7 @@
 
 void PartitionOwner::UseCatalog(std::shared_ptr<const Catalog> catalog) {
   catalog_ = std::move(catalog);
+  queues_.SetCatalog(catalog_.get());
   if (catalog_ == nullptr) return;
   for (const auto& [name, workspace] : catalog_->workspaces) {
     workspace_caps_[name] = workspace.cap;
@@ -35,9 +36,7 @@
 }
 
 const QueueConfig* PartitionOwner::QueueOf(const JobRecord& job) const {
-  if (catalog_ == nullptr) return nullptr;
-  const auto it = catalog_->queues.find(job.spec.queue);
-  return it == catalog_->queues.end() ? nullptr : &it->second;
+  return queues_.Of(job);
 }
 
 std::optional<int> PartitionOwner::MaxAttempts(const JobRecord& job) const {
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -22,17 +22,6 @@
 constexpr Millis kInstanceArrival{1500};
 /// Mean share of a running task's duration that is still to come.
 constexpr double kMeanShareLeft = 0.5;
-/// Lets all members of a gang resume from one checkpoint; that of any member
-/// is valid for the others.
-void ShareCheckpoint(StepRecord* gang) {
-  const auto saved = std::find_if(
-      gang->tasks.begin(), gang->tasks.end(),
-      [](const TaskRecord& task) { return !task.checkpoint.empty(); });
-  if (saved == gang->tasks.end()) return;
-  const std::string checkpoint = saved->checkpoint;
-  for (TaskRecord& task : gang->tasks) task.checkpoint = checkpoint;
-}
-
 /// The runs of a term are numbered from (term - 1) * kRunsPerTerm + 1.
 constexpr std::int64_t kRunsPerTerm = 1000;
 
@@ -96,13 +85,21 @@
 bool PartitionOwner::MayBelongToLaterOwner(const WorkerState& worker) const {
   // An incarnation that a later owner has read rejects this one's commands. One
   // that began afterwards has seen no fencing token.
-  return worker.incarnation_seen_at >= listener_.confirmed_until() &&
+  return worker.incarnation_seen_at != TimePoint{} &&
+         worker.incarnation_seen_at >= listener_.confirmed_until() &&
          !TermIsConfirmed();
 }
 
-std::map<std::string, PoolWorkers> PartitionOwner::CollectWorkers(
-    TimePoint now) {
-  std::map<std::string, PoolWorkers> pools;
+void PartitionOwner::EndIsolation(TimePoint now) {
+  for (const auto& [id, worker] : workers_) {
+    if (worker->capacity.isolated && now >= worker->isolated_until) {
+      worker->capacity.isolated = false;
+    }
+  }
+}
+
+void PartitionOwner::CollectWorkers(TimePoint now) {
+  round_pools_.BeginRound();
   for (const auto& [id, worker] : workers_) {
     worker->capacity.outlier_score = worker->outlier_detector.OutlierScore(now);
     worker->capacity.isolated = now < worker->isolated_until;
@@ -113,25 +110,84 @@
     const bool suspect =
         worker->outlier_detector.Quarantined(now) ||
         (worker->capacity.outlier_score > 0 && worker->capacity.tasks > 0);
-    PoolWorkers& pool = pools[worker->capacity.pool];
+    PoolWorkers& pool = *worker->pool;
     if (!suspect) {
-      pool.healthy.push_back(&worker->capacity);
+      pool.healthy.Add(&worker->capacity);
       pool.cores += static_cast<double>(worker->capacity.room.cpu_millis) / 1e3;
     }
-    pool.all.push_back(&worker->capacity);
+    pool.all.Add(&worker->capacity);
   }
-  return pools;
+}
+
+void PartitionOwner::CollectWaitingSteps() {
+  waiting_steps_.clear();
+  // While workers are unread, a round also notes since when suspects wait.
+  const bool all = options_.rank_all_pools || !unread_workers_.empty();
+  for (const auto& [id, job] : jobs_.All()) {
+    if (IsFinal(job->state)) continue;
+    for (const auto& [number, occurrence] : job->occurrences) {
+      for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+        const StepRecord& step = occurrence.steps[s];
+        if (step.done + step.active >= static_cast<int>(step.tasks.size())) {
+          continue;
+        }
+        const bool ready = StepReady(*job, occurrence, static_cast<int>(s));
+        // The advisor is asked about steps that are not ready yet.
+        if (ready || all || NeedsAdvice(*job)) {
+          waiting_steps_.push_back({.job = job.get(),
+                                    .record = &step,
+                                    .spec = &job->spec.steps[s],
+                                    .ready = ready});
+        }
+      }
+    }
+  }
+}
+
+bool PartitionOwner::MayPlace(const WaitingStep& step,
+                              CandidateWorkers* workers) const {
+  const StepSpec& spec = *step.spec;
+  if (!workers->MayHold(Charge(spec))) return false;
+  if (!step.ready) return true;
+  const std::vector<TaskRecord>& tasks = step.record->tasks;
+  const bool may_start = std::any_of(
+      tasks.begin() + step.record->first_waiting, tasks.end(),
+      [&](const TaskRecord& task) {
+        return task.state == TaskState::kWaiting && TaskMayStart(spec, task);
+      });
+  return may_start &&
+         WithinCap(*step.job, spec.need * (spec.gang ? spec.count : 1));
+}
+
+bool PartitionOwner::OpenPools(TimePoint now) {
+  bool any_open = false;
+  const bool all = options_.rank_all_pools || !unread_workers_.empty();
+  for (const WaitingStep& step : waiting_steps_) {
+    const JobRecord& job = *step.job;
+    const QueueConfig* queue = QueueOf(job);
+    PoolWorkers* pool =
+        queue == nullptr ? nullptr : round_pools_.Of(job, *queue);
+    if (pool == nullptr) continue;
+    pool->has_waiting = true;
+    if (pool->open) continue;
+    CandidateWorkers* workers = now - job.accepted_at > kHealthyOnlyPeriod
+                                    ? &pool->all
+                                    : &pool->healthy;
+    pool->open = all || MayPlace(step, workers);
+    any_open = any_open || pool->open;
+  }
+  return any_open;
 }
 
 std::vector<PlacementCandidate> PartitionOwner::CollectCandidates(
-    std::map<std::string, PoolWorkers>* pools, TimePoint now) {
+    TimePoint now) {
   std::vector<PlacementCandidate> candidates;
   for (const auto& [id, job] : jobs_.All()) {
     if (IsFinal(job->state)) continue;
     const QueueConfig* queue = QueueOf(*job);
     if (queue == nullptr) continue;
-    const auto pool = pools->find(queue->pool);
-    if (pool == pools->end()) continue;
+    PoolWorkers* pool = round_pools_.Of(*job, *queue);
+    if (pool == nullptr || !pool->open) continue;
     const double ratio = durations_[job->spec.queue].ratio;
     for (auto& [number, occurrence] : job->occurrences) {
       bool is_waiting = false;
@@ -145,13 +201,12 @@
         const double task_core_ms = cores * StepDurationMs(spec, ratio);
         is_waiting = is_waiting || waiting > 0;
         if (spec.lasting) {
-          pool->second.cores -= cores * step.active;
+          pool->cores -= cores * step.active;
           continue;
         }
         backlog.work_core_ms += task_core_ms * waiting;
         backlog.started = backlog.started || step.active + step.done > 0;
-        pool->second.running_core_ms +=
-            task_core_ms * step.active * kMeanShareLeft;
+        pool->running_core_ms += task_core_ms * step.active * kMeanShareLeft;
       }
       if (!is_waiting) continue;
       const Urgency urgency = RankJob(*job, occurrence, *queue, ratio, now);
@@ -160,7 +215,7 @@
           {.urgency = urgency,
            .job = job.get(),
            .occurrence = number,
-           .pool = &pool->second,
+           .pool = pool,
            .any_worker = now - job->accepted_at > kHealthyOnlyPeriod,
            .backlog = backlog});
     }
@@ -171,8 +226,9 @@
 std::map<std::string, double> PartitionOwner::ArrivingCores() const {
   std::map<std::string, double> cores;
   for (const auto& [id, op] : instance_operations_) {
+    if (op.wave > 0 || !op.accepted) continue;
     const auto instance = instances_.find(id);
-    if (op.wave > 0 || !op.accepted || instance == instances_.end()) continue;
+    if (instance == instances_.end()) continue;
     cores[op.to_pool] +=
         static_cast<double>(instance->second.room.cpu_millis) / 1e3;
   }
@@ -180,11 +236,10 @@
 }
 
 void PartitionOwner::DeferUnservable(
-    std::vector<PlacementCandidate>* candidates,
-    const std::map<std::string, PoolWorkers>& pools) {
+    std::vector<PlacementCandidate>* candidates) {
   const std::map<std::string, double> arriving = ArrivingCores();
-  std::int64_t deferred = 0;
-  for (const auto& [name, pool] : pools) {
+  for (auto& [name, pool] : round_pools_.All()) {
+    if (!pool.open) continue;
     std::vector<PlacementCandidate*> in_time;
     std::vector<BacklogJob> backlog;
     for (PlacementCandidate& candidate : *candidates) {
@@ -202,13 +257,23 @@
          .running_core_ms = pool.running_core_ms,
          .arriving_cores = coming == arriving.end() ? 0 : coming->second,
          .arriving_in_ms = kInstanceArrival.count()});
+    pool.deferred = 0;
     for (std::size_t i = 0; i < in_time.size(); ++i) {
       if (servable[i]) continue;
       in_time[i]->urgency.lateness = Lateness::kUnservable;
-      ++deferred;
+      ++pool.deferred;
     }
   }
-  if (deps_.counters != nullptr) deps_.counters->Set("jobs_deferred", deferred);
+}
+
+void PartitionOwner::ReportDeferred() {
+  if (deps_.counters == nullptr) return;
+  std::int64_t deferred = 0;
+  for (auto& [name, pool] : round_pools_.All()) {
+    if (!pool.has_waiting) pool.deferred = 0;
+    deferred += pool.deferred;
+  }
+  deps_.counters->Set("jobs_deferred", deferred);
 }
 
 void PartitionOwner::Dispatch() {
@@ -220,55 +285,26 @@
   workspace_orphaned_ = OrphanedUse();
   if (!TermIsConfirmed()) AddUnreportedUse(&workspace_orphaned_);
   SendStoredStarts();
-  std::map<std::string, PoolWorkers> pools = CollectWorkers(now);
-  std::vector<PlacementCandidate> candidates = CollectCandidates(&pools, now);
-  const auto by_urgency = [](const PlacementCandidate& a,
-                             const PlacementCandidate& b) {
-    return a.urgency < b.urgency;
-  };
-  // Equally urgent jobs keep the order of the job table.
-  std::stable_sort(candidates.begin(), candidates.end(), by_urgency);
-  DeferUnservable(&candidates, pools);
-  std::stable_sort(candidates.begin(), candidates.end(), by_urgency);
-  for (const PlacementCandidate& candidate : candidates) PlaceJob(candidate);
-}
-
-void PartitionOwner::PlaceJob(const PlacementCandidate& candidate) {
-  JobRecord* job = candidate.job;
-  const std::vector<WorkerCapacity*>& workers =
-      candidate.any_worker ? candidate.pool->all : candidate.pool->healthy;
-  FullPoolMemo* full = candidate.any_worker ? &candidate.pool->full
-                                            : &candidate.pool->full_if_healthy;
-  OccurrenceRecord& occurrence = job->occurrences.at(candidate.occurrence);
-  const bool may_have_orphans = MayHaveOrphanedRuns(*job);
-  for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-    StepRecord& step = occurrence.steps[s];
-    const int index = static_cast<int>(s);
-    if (may_have_orphans) {
-      // The wait of a suspect for a worker of its own begins when it may start.
-      for (TaskRecord& task : step.tasks) {
-        if (AwaitsOrphanedRun(*job, job->spec.steps[s], task)) {
-          task.suspect_since = deps_.clock->Now();
-        }
-      }
-    }
-    if (step.done + step.active >= static_cast<int>(step.tasks.size())) {
-      continue;
-    }
-    if (!StepReady(*job, occurrence, index)) {
-      // An answer from the advisor takes time, so it is requested while the
-      // preceding steps still run.
-      if (NeedsAdvice(*job) && PredecessorsStarted(*job, occurrence, index)) {
-        AskAdvice(*job, candidate.occurrence, index, workers);
-      }
-      continue;
-    }
-    if (job->spec.steps[s].gang) {
-      PlaceGang(job, candidate.occurrence, index, workers);
-    } else {
-      PlaceStep(job, candidate.occurrence, index, workers, full);
-    }
+  CollectWaitingSteps();
+  if (waiting_steps_.empty()) {
+    round_pools_.BeginRound();
+    EndIsolation(now);
+  } else {
+    CollectWorkers(now);
+  }
+  if (OpenPools(now)) {
+    std::vector<PlacementCandidate> candidates = CollectCandidates(now);
+    // Equally urgent jobs keep the order of the job table.
+    const auto by_urgency = [](const PlacementCandidate& a,
+                               const PlacementCandidate& b) {
+      return a.urgency < b.urgency;
+    };
+    std::stable_sort(candidates.begin(), candidates.end(), by_urgency);
+    DeferUnservable(&candidates);
+    std::stable_sort(candidates.begin(), candidates.end(), by_urgency);
+    for (const PlacementCandidate& candidate : candidates) PlaceJob(candidate);
   }
+  ReportDeferred();
 }
 
 std::int64_t PartitionOwner::NextRun(const TaskRecord& task) const {
@@ -280,137 +316,6 @@
   return queue != nullptr && queue->advice.needed;
 }
 
-void PartitionOwner::PlaceStep(JobRecord* job, int occurrence, int step,
-                               const std::vector<WorkerCapacity*>& workers,
-                               FullPoolMemo* full) {
-  const StepSpec& spec = job->spec.steps[static_cast<std::size_t>(step)];
-  const bool needs_advice = NeedsAdvice(*job);
-  if (!needs_advice && full->HasNoRoomFor(Charge(spec))) return;
-  StepRecord& record =
-      job->occurrences.at(occurrence).steps[static_cast<std::size_t>(step)];
-  std::map<std::string, int> siblings;
-  for (const TaskRecord& task : record.tasks) {
-    if (!task.worker.empty()) ++siblings[task.worker];
-  }
-  // A run started by an earlier owner may exist on a worker that has not been
-  // read yet.
-  const bool may_have_orphans = MayHaveOrphanedRuns(*job);
-  PlacementRequest request;
-  request.step = &spec;
-  request.count_siblings = [&siblings](const WorkerCapacity& worker) {
-    const auto it = siblings.find(worker.id);
-    return it == siblings.end() ? 0 : it->second;
-  };
-  if (needs_advice) {
-    RequireTickets(
-        {.job = job->spec.id, .occurrence = occurrence, .step = step},
-        &request);
-  }
-  bool found_waiting = false;
-  for (int i = record.first_waiting; i < spec.count; ++i) {
-    TaskRecord& task = record.tasks[static_cast<std::size_t>(i)];
-    if (task.state != TaskState::kWaiting) continue;
-    if (!found_waiting) {
-      record.first_waiting = i;
-      found_waiting = true;
-    }
-    if (!TaskMayStart(spec, task) ||
-        (may_have_orphans && AwaitsOrphanedRun(*job, spec, task))) {
-      continue;
-    }
-    if (!WithinCap(*job, spec.need)) return;
-    request.avoid_worker = task.avoid_worker;
-    request.may_crash_worker = IsSuspect(task);
-    WorkerCapacity* worker = ChooseWorker(request, workers);
-    if (worker == nullptr) {
-      if (needs_advice) AskAdvice(*job, occurrence, step, workers);
-      if (!AnyHasRoom(Charge(spec), workers)) full->Add(Charge(spec));
-      return;
-    }
-    const TaskId id = {.job = job->spec.id,
-                       .occurrence = occurrence,
-                       .step = step,
-                       .index = i};
-    ++siblings[worker->id];
-    WorkerState* chosen = FindWorker(worker->id);
-    if (request.may_crash_worker || spec.lasting) {
-      StartWhenStored(job, {{.task = id, .worker = chosen}}, NextRun(task));
-    } else {
-      StartTask(job, id, chosen, NextRun(task));
-    }
-  }
-}
-
-void PartitionOwner::PlaceGang(JobRecord* job, int occurrence, int step,
-                               const std::vector<WorkerCapacity*>& workers) {
-  const StepSpec& spec = job->spec.steps[static_cast<std::size_t>(step)];
-  StepRecord& record =
-      job->occurrences.at(occurrence).steps[static_cast<std::size_t>(step)];
-  const bool may_have_orphans = MayHaveOrphanedRuns(*job);
-  std::int64_t run = 0;
-  for (const TaskRecord& task : record.tasks) {
-    // All members of a gang start together or none does.
-    if (task.state != TaskState::kWaiting || !TaskMayStart(spec, task)) return;
-    if (may_have_orphans && AwaitsOrphanedRun(*job, spec, task)) return;
-    run = std::max(run, NextRun(task));
-  }
-  if (!WithinCap(*job, spec.need * spec.count)) return;
-  std::vector<WorkerCapacity> trial;
-  trial.reserve(workers.size());
-  for (const WorkerCapacity* worker : workers) trial.push_back(*worker);
-  std::vector<WorkerCapacity*> trial_workers;
-  trial_workers.reserve(trial.size());
-  for (WorkerCapacity& worker : trial) trial_workers.push_back(&worker);
-  std::map<std::string, int> siblings;
-  PlacementRequest request;
-  request.step = &spec;
-  request.count_siblings = [&siblings](const WorkerCapacity& worker) {
-    const auto it = siblings.find(worker.id);
-    return it == siblings.end() ? 0 : it->second;
-  };
-  const bool needs_advice = NeedsAdvice(*job);
-  if (needs_advice) {
-    RequireTickets(
-        {.job = job->spec.id, .occurrence = occurrence, .step = step},
-        &request);
-  }
-  std::vector<std::string> chosen(record.tasks.size());
-  for (const int i : SuspectsFirst(record)) {
-    const TaskRecord& task = record.tasks[static_cast<std::size_t>(i)];
-    request.may_crash_worker = MustIsolate(task);
-    request.avoid_worker = IsSuspect(task) ? task.avoid_worker : std::string();
-    WorkerCapacity* worker = ChooseWorker(request, trial_workers);
-    if (worker == nullptr) {
-      if (needs_advice) AskAdvice(*job, occurrence, step, workers);
-      return;
-    }
-    worker->used += Charge(spec);
-    ++siblings[worker->id];
-    if (spec.same_rack && request.rack.empty()) request.rack = worker->rack;
-    worker->isolated = MustStartApart(task);
-    chosen[static_cast<std::size_t>(i)] = worker->id;
-  }
-  ShareCheckpoint(&record);
-  std::vector<PlacedTask> placed;
-  placed.reserve(chosen.size());
-  for (int i = 0; i < spec.count; ++i) {
-    placed.push_back(
-        {.task = {.job = job->spec.id,
-                  .occurrence = occurrence,
-                  .step = step,
-                  .index = i},
-         .worker = FindWorker(chosen[static_cast<std::size_t>(i)])});
-  }
-  if (spec.lasting ||
-      std::any_of(record.tasks.begin(), record.tasks.end(), IsSuspect)) {
-    StartWhenStored(job, placed, run);
-    return;
-  }
-  for (const PlacedTask& member : placed) {
-    StartTask(job, member.task, member.worker, run);
-  }
-}
-
 void PartitionOwner::StartTask(JobRecord* job, const TaskId& id,
                                WorkerState* worker, std::int64_t run) {
   ReserveWorker(job, id, worker, run);
--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -67,11 +67,10 @@
   instances_ = std::move(instances);
   instances_asked_at_ = asked_at;
   instances_known_ = true;
-  std::erase_if(worker_first_seen_at_, [this](const auto& entry) {
-    return std::none_of(instances_.begin(), instances_.end(),
-                        [&entry](const auto& instance) {
-                          return instance.second.worker == entry.first;
-                        });
+  std::set<std::string_view> shown;
+  for (const auto& [id, instance] : instances_) shown.insert(instance.worker);
+  std::erase_if(worker_first_seen_at_, [&shown](const auto& entry) {
+    return !shown.contains(entry.first);
   });
   DropWorkersWithoutInstance(asked_at);
   std::vector<std::string> completed;
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -113,6 +113,7 @@
   worker->listed = true;
   worker->unlisted_at = TimePoint{};
   worker->capacity.pool = entry->pool;
+  worker->pool = round_pools_.Named(entry->pool);
   worker->capacity.rack = entry->rack;
   worker->capacity.room = entry->room;
   worker->link->NoteIncarnation(entry->born_unix_ms);
--- a/lib/Schedule/Placement.cc
+++ b/lib/Schedule/Placement.cc
@@ -100,6 +100,26 @@
                      });
 }
 
+void CandidateWorkers::Clear() {
+  workers_.clear();
+  full_.Clear();
+  most_free_.reset();
+}
+
+bool CandidateWorkers::MayHold(const Resources& charge) {
+  if (workers_.empty()) return false;
+  if (!most_free_) {
+    most_free_ = workers_.front()->room - workers_.front()->used;
+    for (const WorkerCapacity* worker : workers_) {
+      most_free_ = ElementwiseMax(*most_free_, worker->room - worker->used);
+    }
+  }
+  if (!Fits(charge, *most_free_) || full_.HasNoRoomFor(charge)) return false;
+  if (AnyHasRoom(charge, workers_)) return true;
+  full_.Add(charge);
+  return false;
+}
+
 WorkerCapacity* ChooseWorker(const PlacementRequest& request,
                              const std::vector<WorkerCapacity*>& workers) {
   const Resources charge = Charge(*request.step);
--- a/unittests/Partition/FleetSim.cc
+++ b/unittests/Partition/FleetSim.cc
@@ -104,7 +104,8 @@
       OwnerOptions{.node = "node-" + std::to_string(term_),
                    .term = term_,
                    .starts_stored_since = starts_stored_since,
-                   .term_revision = revision},
+                   .term_revision = revision,
+                   .rank_all_pools = rank_all_pools},
       PartitionOwner::Listener{
           .on_deposed = [this, term = term_] { CloseDeposedOwner(term); },
           .confirmed_until =
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -411,6 +411,8 @@
   LongLeases former_leases;
   /// OwnerOptions::starts_stored_since of later owners.
   std::int64_t starts_stored_since = 1;
+  /// OwnerOptions::rank_all_pools of later owners.
+  bool rank_all_pools = false;
   /// The current owner can confirm its term.
   bool can_confirm_term = true;
   /// Connection to the store of the owner of each term. An owner that is cut
--- a/unittests/Partition/OwnerLoad.cc
+++ b/unittests/Partition/OwnerLoad.cc
@@ -81,6 +81,7 @@
 OwnerLoad::OwnerLoad(const OwnerLoadOptions& options)
     : options_(options), random_(options.seed) {
   sim_.workers = &starts_;
+  sim_.rank_all_pools = options.rank_all_pools;
   sim_.catalog.pools.erase("pool");
   sim_.catalog.queues.clear();
   for (int i = 0; i < kPools; ++i) {
--- a/unittests/Partition/OwnerLoad.h
+++ b/unittests/Partition/OwnerLoad.h
@@ -52,6 +52,8 @@
   /// Mean number of submitted jobs, per second; bursts of two and a half times
   /// as many alternate with quieter seconds.
   double jobs_per_s = 33;
+  /// OwnerOptions::rank_all_pools.
+  bool rank_all_pools = false;
 };
 
 /// Fleet with five pools, one owner and a load of jobs with one to four steps
