Copy a report only if ends are left out of it

Each answer of a poll was copied with all its runs, each task was looked up twice, and tasks were compared by the job's name first. The copy is made only if the report repeats ends, a job's record is looked up once, and numbers are compared first.

--- a/include/basilusher/Jobs/Job.h
+++ b/include/basilusher/Jobs/Job.h
@@ -118,7 +118,11 @@
   int step = 0;
   int index = 0;
 
-  friend bool operator==(const TaskId&, const TaskId&) = default;
+  /// Compares the job last: most tasks that differ do so in a number.
+  friend bool operator==(const TaskId& a, const TaskId& b) {
+    return a.index == b.index && a.step == b.step &&
+           a.occurrence == b.occurrence && a.job == b.job;
+  }
   friend auto operator<=>(const TaskId&, const TaskId&) = default;
 };
 
--- a/lib/Jobs/JobTable.cc
+++ b/lib/Jobs/JobTable.cc
@@ -113,7 +113,10 @@
 void JobTable::Erase(const std::string& id) { jobs_.erase(id); }
 
 TaskRecord* JobTable::FindTask(const TaskId& id) {
-  JobRecord* job = Find(id.job);
+  return FindTaskOf(Find(id.job), id);
+}
+
+TaskRecord* FindTaskOf(JobRecord* job, const TaskId& id) {
   if (job == nullptr) return nullptr;
   StepRecord* step = FindStep(job, id);
   return step == nullptr ? nullptr : TaskIn(step, id);
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -218,13 +218,13 @@
     for (const EndedTask& end : answer.ended) {
       last = std::max(last, end.number);
     }
-    const EndBatch ends = {.incarnation = worker->link->Incarnation(),
-                           .last = last,
-                           .changed = changed};
+    EndBatch ends = {.incarnation = worker->link->Incarnation(),
+                     .last = last,
+                     .changed = std::move(changed)};
     if (worker->unknown_job_ends.empty()) {
       StoreEnds(worker, ends);
     } else {
-      worker->deferred_ends.push_back(ends);
+      worker->deferred_ends.push_back(std::move(ends));
     }
   }
   ScheduleDispatch();
@@ -243,7 +243,7 @@
                                const RunningTask& running) {
   JobRecord* job = jobs_.Find(running.task.job);
   if (job != nullptr) OpenReportedOccurrence(job, running.task);
-  TaskRecord* task = jobs_.FindTask(running.task);
+  TaskRecord* task = FindTaskOf(job, running.task);
   const bool wanted = job != nullptr && task != nullptr &&
                       !IsFinal(job->state) && task->state != TaskState::kDone;
   if (task != nullptr && task->worker == worker->capacity.id &&
@@ -341,7 +341,7 @@
   // therefore waits for the job's record even if it changes nothing now.
   if (!job->final_stored) changed->insert(end.task.job);
   OpenReportedOccurrence(job, end.task);
-  TaskRecord* task = jobs_.FindTask(end.task);
+  TaskRecord* task = FindTaskOf(job, end.task);
   if (task == nullptr) {
     // The occurrence of the task is done.
     return;
@@ -370,7 +370,7 @@
   const std::vector<HeldRun> held_runs = RunsEndedWith(end.task, step);
   const EndEffect effect = ApplyEnd(job, end, id, MaxAttempts(*job));
   if (effect == EndEffect::kIgnored) return;
-  task = jobs_.FindTask(end.task);
+  task = FindTaskOf(job, end.task);
   LogEvent(LogLevel::kInfo, "run-ended",
            {{"task", FormatTaskId(end.task)},
             {"run", end.run},
--- a/lib/Partition/WorkerLink.cc
+++ b/lib/Partition/WorkerLink.cc
@@ -189,10 +189,18 @@
   clock_known_ = true;
   const bool settled = fence == fence_;
   const bool is_first_report = !synced_;
-  HoldAnswer report = answer;
-  std::erase_if(report.ended, [this](const EndedTask& end) {
-    return end.number <= last_end_;
-  });
+  const bool repeats_ends = std::any_of(
+      answer.ended.begin(), answer.ended.end(),
+      [this](const EndedTask& end) { return end.number <= last_end_; });
+  // Copied only if something is left out: most reports list many runs.
+  HoldAnswer without_repeated;
+  if (repeats_ends) {
+    without_repeated = answer;
+    std::erase_if(without_repeated.ended, [this](const EndedTask& end) {
+      return end.number <= last_end_;
+    });
+  }
+  const HoldAnswer& report = repeats_ends ? without_repeated : answer;
   for (const EndedTask& end : report.ended) {
     last_end_ = std::max(last_end_, end.number);
   }
