Add up the demand of all pools in one pass

PlanPools walked all jobs once for each pool, every 100 ms, and ranked a job once for each of its waiting steps. One pass now serves all pools, and a job's occurrence is ranked once.

The digest of all starts is unchanged.

--- a/include/basilusher/Jobs/JobTable.h
+++ b/include/basilusher/Jobs/JobTable.h
@@ -171,8 +171,8 @@
   std::unordered_map<std::string, std::size_t> queue_numbers_;
 };
 
-/// Returns the record of one of the job's tasks; null if the occurrence, step or
-/// index is not known, or `job` is null. Precondition: `id` names the job.
+/// Returns the record of one of the job's tasks; null if the occurrence, step
+/// or index is not known, or `job` is null. Precondition: `id` names the job.
 TaskRecord* FindTaskOf(JobRecord* job, const TaskId& id);
 
 /// Adds the occurrences that are due at `unix_ms` while fewer than `most` are
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -435,7 +435,12 @@
   bool WaveTimeIsShort(std::int64_t number) const;
   void PlanPools();
   void LogPool(const PoolState& pool, const PoolDemand& demand) const;
-  PoolDemand DemandOf(const std::string& pool);
+  /// Demand of each pool that jobs or arrivals name.
+  std::map<std::string, PoolDemand> CollectDemand();
+  /// Adds what one occurrence of the job uses and needs.
+  void AddDemand(const JobRecord& job, int number,
+                 const OccurrenceRecord& occurrence, const QueueConfig& queue,
+                 PoolDemand* demand);
   /// True if the job can no longer meet its objective.
   bool IsLate(const JobRecord& job, const OccurrenceRecord& occurrence,
               const QueueConfig& queue);
--- a/lib/Partition/OwnerPools.cc
+++ b/lib/Partition/OwnerPools.cc
@@ -103,46 +103,60 @@
              .lateness >= Lateness::kLate;
 }
 
-PoolDemand PartitionOwner::DemandOf(const std::string& pool) {
-  PoolDemand demand;
+std::map<std::string, PoolDemand> PartitionOwner::CollectDemand() {
+  std::map<std::string, PoolDemand> demands;
   for (const auto& [id, job] : jobs_.All()) {
     const QueueConfig* queue = QueueOf(*job);
-    if (queue == nullptr || queue->pool != pool) continue;
+    if (queue == nullptr || job->occurrences.empty()) continue;
+    PoolDemand& demand = demands[queue->pool];
     for (const auto& [number, occurrence] : job->occurrences) {
-      for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-        const StepRecord& step = occurrence.steps[s];
-        const StepSpec& spec = job->spec.steps[s];
-        const Resources charge = Charge(spec);
-        demand.running += charge * step.active;
-        if (IsFinal(job->state)) continue;
-        const int waiting =
-            static_cast<int>(step.tasks.size()) - step.done - step.active;
-        if (spec.lasting) {
-          demand.lasting += charge * (waiting + step.active);
-        }
-        if (spec.max_per_worker > 0 && waiting + step.active > 0) {
-          const int spread = (waiting + step.active + spec.max_per_worker - 1) /
-                             spec.max_per_worker;
-          demand.distinct_workers = std::max(demand.distinct_workers, spread);
-        }
-        if (waiting > 0 && StepReady(*job, occurrence, static_cast<int>(s))) {
-          demand.waiting += charge * waiting;
-          if (IsLate(*job, occurrence, *queue)) {
-            demand.waiting_late += charge * waiting;
-          }
-          // Workers that the advisor refused offer no room for the step.
-          const int refused = advice_.RefusedCount(
-              {.job = id, .occurrence = number, .step = static_cast<int>(s)});
-          if (refused > 0) {
-            demand.distinct_workers =
-                std::max(demand.distinct_workers, refused + 1);
-          }
-        }
-      }
+      AddDemand(*job, number, occurrence, *queue, &demand);
+    }
+  }
+  const TimePoint now = deps_.clock->Now();
+  for (auto& [pool, arrivals] : arrivals_) {
+    demands[pool].arriving_cores = arrivals.ArrivingCores(now);
+  }
+  return demands;
+}
+
+void PartitionOwner::AddDemand(const JobRecord& job, int number,
+                               const OccurrenceRecord& occurrence,
+                               const QueueConfig& queue, PoolDemand* demand) {
+  const bool is_final = IsFinal(job.state);
+  // All steps of an occurrence are late together.
+  std::optional<bool> late;
+  for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+    const StepRecord& step = occurrence.steps[s];
+    const StepSpec& spec = job.spec.steps[s];
+    const Resources charge = Charge(spec);
+    demand->running += charge * step.active;
+    if (is_final) continue;
+    const int waiting =
+        static_cast<int>(step.tasks.size()) - step.done - step.active;
+    if (spec.lasting) {
+      demand->lasting += charge * (waiting + step.active);
+    }
+    if (spec.max_per_worker > 0 && waiting + step.active > 0) {
+      const int spread = (waiting + step.active + spec.max_per_worker - 1) /
+                         spec.max_per_worker;
+      demand->distinct_workers = std::max(demand->distinct_workers, spread);
+    }
+    if (waiting <= 0 || !StepReady(job, occurrence, static_cast<int>(s))) {
+      continue;
+    }
+    demand->waiting += charge * waiting;
+    if (!late) late = IsLate(job, occurrence, queue);
+    if (*late) demand->waiting_late += charge * waiting;
+    // Workers that the advisor refused offer no room for the step.
+    const int refused = advice_.RefusedCount({.job = job.spec.id,
+                                              .occurrence = number,
+                                              .step = static_cast<int>(s)});
+    if (refused > 0) {
+      demand->distinct_workers =
+          std::max(demand->distinct_workers, refused + 1);
     }
   }
-  demand.arriving_cores = arrivals_[pool].ArrivingCores(deps_.clock->Now());
-  return demand;
 }
 
 void PartitionOwner::LogPool(const PoolState& pool,
@@ -210,13 +224,14 @@
         instance.state == InstanceState::kMaintenance || unusable;
     if (!unavailable) state->second.instances.push_back(view);
   }
+  std::map<std::string, PoolDemand> demands = CollectDemand();
   std::vector<PoolState> pools;
   for (auto& [name, state] : states) {
     if (!state.spare) {
       const Resources instance_capacity = instance_capacities.contains(name)
                                               ? instance_capacities[name]
                                               : Resources{.cpu_millis = 1};
-      const PoolDemand demand = DemandOf(name);
+      const PoolDemand& demand = demands[name];
       state.needed = InstancesNeeded(demand, instance_capacity);
       PoolDemand in_time = demand;
       in_time.waiting -= demand.waiting_late;
