--- a/include/basilusher/Partition/ShareTracker.h
+++ b/include/basilusher/Partition/ShareTracker.h
@@ -10,6 +10,7 @@
 #include "basilusher/Jobs/Catalog.h"
 #include "basilusher/Jobs/JobTable.h"
 #include "basilusher/Partition/OwnerState.h"
+#include "basilusher/Partition/RoundPools.h"
 #include "basilusher/Schedule/WorkspaceShare.h"
 #include "basilusher/Support/Counters.h"
 
--- a/lib/Jobs/JobTable.cc
+++ b/lib/Jobs/JobTable.cc
@@ -93,6 +93,9 @@
   if (job_record != nullptr) return job_record.get();
   job_record = std::make_unique<JobRecord>();
   job_record->spec = std::move(spec);
+  job_record->queue_number =
+      queue_numbers_.try_emplace(job_record->spec.queue, queue_numbers_.size())
+          .first->second;
   job_record->accepted_at = accepted_at;
   return job_record.get();
 }
@@ -110,7 +113,10 @@
 void JobTable::Erase(const std::string& id) { jobs_.erase(id); }
 
 TaskRecord* JobTable::FindTask(const TaskId& id) {
-  JobRecord* job = Find(id.job);
+  return FindTaskOf(Find(id.job), id);
+}
+
+TaskRecord* FindTaskOf(JobRecord* job, const TaskId& id) {
   if (job == nullptr) return nullptr;
   StepRecord* step = FindStep(job, id);
   return step == nullptr ? nullptr : TaskIn(step, id);
--- a/lib/Partition/ShareTracker.cc
+++ b/lib/Partition/ShareTracker.cc
@@ -29,7 +29,7 @@
 
 double FreeCores(const PoolWorkers& pool) {
   std::int64_t millis = 0;
-  for (const WorkerCapacity* worker : pool.healthy) {
+  for (const WorkerCapacity* worker : pool.healthy.Workers()) {
     millis += std::max<std::int64_t>(
         0, worker->room.cpu_millis - worker->used.cpu_millis);
   }
--- a/unittests/Partition/FleetSim.cc
+++ b/unittests/Partition/FleetSim.cc
@@ -105,7 +105,7 @@
   const std::int64_t revision = store.Put(keys.owner, std::to_string(term_));
   owner = std::make_shared<PartitionOwner>(
       OwnerDependencies{.store = connection.get(),
-                        .workers = &fleet,
+                        .workers = workers,
                         .instances = instances,
                         .advisor = advisor,
                         .timers = &timers,
@@ -116,7 +116,8 @@
                    .term = term_,
                    .starts_stored_since = starts_stored_since,
                    .term_revision = revision,
-                   .workspace_shares = workspace_shares},
+                   .workspace_shares = workspace_shares,
+                   .rank_all_pools = rank_all_pools},
       PartitionOwner::Listener{
           .on_deposed = [this, term = term_] { CloseDeposedOwner(term); },
           .confirmed_until =
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -431,6 +431,7 @@
   PlacementAdvisor* advisor = nullptr;
   InstanceProvider* instances = &fleet;
   const EvacuationView* evacuations = nullptr;
+  WorkerGateway* workers = &fleet;
   Catalog catalog;
   std::shared_ptr<PartitionOwner> owner;
   std::vector<std::shared_ptr<PartitionOwner>> former_owners;
@@ -440,6 +441,8 @@
   bool workspace_shares = false;
   /// OwnerOptions::starts_stored_since of later owners.
   std::int64_t starts_stored_since = 1;
+  /// OwnerOptions::rank_all_pools of later owners.
+  bool rank_all_pools = false;
   /// The current owner can confirm its term.
   bool can_confirm_term = true;
   /// Connection to the store of the owner of each term. An owner that is cut
