Learn the distribution of run durations from finished runs

Cause: declared estimates are off by a random factor (spread 0.2 to 0.9 by queue). One ratio for each queue scales them all; it knows nothing of spread, steps or images, and overestimates when the estimates spread.

Change: DurationModel keeps, for each kind of run, a decayed regression of log(actual) on log(declared) that is shrunk towards the next wider kind. Ended siblings of a step move the estimate of the rest; runs that were cut short, slowed down or go on are censored. The bias of a workspace's estimates is removed and the effect of one estimate is bounded. RankJob gets an overload that takes durations from a source; the ones by ratio give the same results.

--- a/include/basilusher/Jobs/JobTable.h
+++ b/include/basilusher/Jobs/JobTable.h
@@ -16,6 +16,7 @@
 #include "basilusher/Jobs/CrashEvidence.h"
 #include "basilusher/Jobs/Interfaces.h"
 #include "basilusher/Jobs/Job.h"
+#include "basilusher/Jobs/StepDurations.h"
 #include "basilusher/Support/Clock.h"
 
 namespace basilusher {
@@ -104,6 +105,10 @@
   int active = 0;
   /// No task with a lower index is waiting.
   int first_waiting = 0;
+  /// Durations of the runs that have ended, and what they make expect. Kept by
+  /// DurationLearner; a later owner begins without them.
+  SiblingRuns ended_runs;
+  mutable StepDurationCache duration_cache;
 };
 
 struct OccurrenceRecord {
--- a/include/basilusher/Schedule/Urgency.h
+++ b/include/basilusher/Schedule/Urgency.h
@@ -5,6 +5,7 @@
 #ifndef BASILUSHER_SCHEDULE_URGENCY_H_
 #define BASILUSHER_SCHEDULE_URGENCY_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -32,6 +33,16 @@
 std::int64_t CriticalPathMs(const JobSpec& spec,
                             const OccurrenceRecord* occurrence, double ratio);
 
+/// Source of the expected durations of a job's steps.
+class StepDurationSource {
+ public:
+  virtual ~StepDurationSource() = default;
+  /// Expected duration of one task of the step, in milliseconds.
+  virtual double StepMs(const JobRecord& job,
+                        const OccurrenceRecord& occurrence, std::size_t step,
+                        TimePoint now) const = 0;
+};
+
 /// How likely a job is to be of value; earlier ones go first.
 enum class Lateness : std::uint8_t {
   /// Has lasting tasks that wait: their users are served only while they run.
@@ -62,6 +73,12 @@
 /// Computes the rank of a job at `now`. Thread-safe.
 Urgency RankJob(const JobRecord& job, const OccurrenceRecord& occurrence,
                 const QueueConfig& queue, double ratio, TimePoint now);
+/// The same by the durations of `source`. The objective and what is left to do
+/// are computed from the same durations: the work counts that there is, not the
+/// work that was declared.
+Urgency RankJob(const JobRecord& job, const OccurrenceRecord& occurrence,
+                const QueueConfig& queue, const StepDurationSource& source,
+                TimePoint now);
 
 }  // namespace basilusher
 
