Order, place and size pools by learned durations, behind a switch

Cause: the owner ranks jobs, decides which can be in time, finds slow workers and sizes pools by declared estimates that may be worthless.

Change: DurationLearner takes the place of the ratios by queue in the owner. With Scheduling.LearnedDurations it feeds ended runs to the DurationModel and gives the expectations for the critical path and objective, the work in a pool, the healthy duration of a run and the work that arrives. Without it, it gives the ratio as before.

--- a/include/basilusher/Node/NodeAgent.h
+++ b/include/basilusher/Node/NodeAgent.h
@@ -55,6 +55,10 @@
   void SetBounds(Millis task_lease, Millis max_task_lease,
                  Millis final_retention, Millis holder_lease,
                  Millis max_view_age);
+  /// The same for OwnerOptions::learned_durations.
+  void SetLearnedDurations(bool learned) {
+    options_.owner.learned_durations = learned;
+  }
   /// Ends the term that a peer says is over; true if none is held after it. No
   /// term below `term` begins here from then on.
   bool EndTermBelow(std::int64_t term);
--- a/include/basilusher/Partition/OwnerOptions.h
+++ b/include/basilusher/Partition/OwnerOptions.h
@@ -103,6 +103,9 @@
   Millis max_view_age{1700};
   /// Time for which an answer of the store confirms the term.
   Millis term_lease{1500};
+  /// Expected durations are learned from finished runs; otherwise declared
+  /// estimates are scaled.
+  bool learned_durations = false;
 };
 
 }  // namespace basilusher
--- a/include/basilusher/Partition/OwnerState.h
+++ b/include/basilusher/Partition/OwnerState.h
@@ -26,6 +26,9 @@
 
 namespace basilusher {
 
+/// The runs of a term are numbered from (term - 1) * kRunsPerTerm + 1.
+inline constexpr std::int64_t kRunsPerTerm = 1000;
+
 /// State and queue of a job as shown to clients.
 struct JobStatus {
   JobState state = JobState::kQueued;
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -18,6 +18,7 @@
 #include "basilusher/Jobs/Interfaces.h"
 #include "basilusher/Jobs/JobTable.h"
 #include "basilusher/Net/IoLoop.h"
+#include "basilusher/Partition/DurationLearner.h"
 #include "basilusher/Partition/EarlierLeases.h"
 #include "basilusher/Partition/OwnerOptions.h"
 #include "basilusher/Partition/OwnerState.h"
@@ -179,6 +180,11 @@
                        std::int64_t run);
   void OnEnded(WorkerState* worker, const EndedTask& end,
                std::set<std::string>* changed);
+  /// What may have changed the duration of the run of `task` that ended on
+  /// `worker`.
+  RunCircumstances CircumstancesOf(const WorkerState& worker,
+                                   const StepSpec& step,
+                                   const TaskRecord& task) const;
   /// Runs on workers that are over once the task is done: its own and, in a
   /// gang, those of the other members.
   std::vector<HeldRun> RunsEndedWith(const TaskId& id, const StepSpec& step);
@@ -493,7 +499,7 @@
   /// Limit of each workspace by the last configuration that had it.
   std::map<std::string, Resources> workspace_caps_;
   std::map<std::string, Resources> workspace_orphaned_;
-  std::map<std::string, DurationEstimate> durations_;
+  DurationLearner durations_{options_.learned_durations, deps_.counters};
   /// By a number that rises with each of them.
   std::map<std::int64_t, HeldStart> held_starts_;
   std::int64_t last_held_start_ = 0;
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -33,9 +33,6 @@
   for (TaskRecord& task : gang->tasks) task.checkpoint = checkpoint;
 }
 
-/// The runs of a term are numbered from (term - 1) * kRunsPerTerm + 1.
-constexpr std::int64_t kRunsPerTerm = 1000;
-
 }  // namespace
 
 void PartitionOwner::Count(const char* name, std::int64_t n) {
@@ -79,6 +76,7 @@
     FindStragglers();
     Dispatch();
     wait_report_.Report();
+    durations_.Report(options_.term, now);
   } else {
     CheckLoading();
   }
@@ -132,7 +130,8 @@
     if (queue == nullptr) continue;
     const auto pool = pools->find(queue->pool);
     if (pool == pools->end()) continue;
-    const double ratio = durations_[job->spec.queue].ratio;
+    const bool learned = durations_.Learned();
+    const double ratio = learned ? 1 : durations_.Ratio(job->spec.queue);
     for (auto& [number, occurrence] : job->occurrences) {
       bool is_waiting = false;
       BacklogJob backlog;
@@ -142,7 +141,10 @@
         const int waiting =
             static_cast<int>(step.tasks.size()) - step.done - step.active;
         const double cores = static_cast<double>(Charge(spec).cpu_millis) / 1e3;
-        const double task_core_ms = cores * StepDurationMs(spec, ratio);
+        const double task_core_ms =
+            cores * (learned && !spec.lasting
+                         ? durations_.MeanMs(*job, occurrence, s, now)
+                         : StepDurationMs(spec, ratio));
         is_waiting = is_waiting || waiting > 0;
         if (spec.lasting) {
           pool->second.cores -= cores * step.active;
@@ -151,10 +153,13 @@
         backlog.work_core_ms += task_core_ms * waiting;
         backlog.started = backlog.started || step.active + step.done > 0;
         pool->second.running_core_ms +=
-            task_core_ms * step.active * kMeanShareLeft;
+            learned ? cores * durations_.LeftMs(*job, occurrence, s, now)
+                    : task_core_ms * step.active * kMeanShareLeft;
       }
       if (!is_waiting) continue;
-      const Urgency urgency = RankJob(*job, occurrence, *queue, ratio, now);
+      const Urgency urgency =
+          learned ? RankJob(*job, occurrence, *queue, durations_, now)
+                  : RankJob(*job, occurrence, *queue, ratio, now);
       backlog.slack_ms = urgency.slack_ms;
       candidates.push_back(
           {.urgency = urgency,
--- a/lib/Partition/OwnerPools.cc
+++ b/lib/Partition/OwnerPools.cc
@@ -98,9 +98,12 @@
 bool PartitionOwner::IsLate(const JobRecord& job,
                             const OccurrenceRecord& occurrence,
                             const QueueConfig& queue) {
-  return RankJob(job, occurrence, queue, durations_[job.spec.queue].ratio,
-                 deps_.clock->Now())
-             .lateness >= Lateness::kLate;
+  const TimePoint now = deps_.clock->Now();
+  const Urgency urgency = durations_.Learned()
+                              ? RankJob(job, occurrence, queue, durations_, now)
+                              : RankJob(job, occurrence, queue,
+                                        durations_.Ratio(job.spec.queue), now);
+  return urgency.lateness >= Lateness::kLate;
 }
 
 PoolDemand PartitionOwner::DemandOf(const std::string& pool) {
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -324,14 +324,8 @@
   // Jobs found at a take-over arrived earlier. Counting them as arrivals of one
   // moment would request instances that no demand needs.
   if (queue != nullptr && !found_at_start) {
-    double core_ms = 0;
-    for (const StepSpec& step : job->spec.steps) {
-      if (step.lasting) continue;
-      core_ms += static_cast<double>(step.need.cpu_millis) / 1000.0 *
-                 static_cast<double>(step.estimate_ms) *
-                 durations_[job->spec.queue].ratio * step.count;
-    }
-    arrivals_[queue->pool].Add(deps_.clock->Now(), core_ms);
+    arrivals_[queue->pool].Add(deps_.clock->Now(),
+                               durations_.ArrivingCoreMs(job->spec));
   }
   LogEvent(LogLevel::kInfo, "job-known",
            {{"job", id},
--- a/lib/Partition/OwnerStragglers.cc
+++ b/lib/Partition/OwnerStragglers.cc
@@ -1,4 +1,5 @@
-// Restarts runs that are expected to end sooner on another worker.
+// Progress of runs against what is expected of them. Restarts those that are
+// expected to end sooner on another worker.
 #include "basilusher/Partition/PartitionOwner.h"
 #include "basilusher/Support/Log.h"
 
@@ -14,14 +15,31 @@
                                        const TaskRecord& task) {
   const StepSpec& step = job.spec.steps[static_cast<std::size_t>(id.step)];
   const TimePoint now = deps_.clock->Now();
+  const double expected_ms =
+      durations_.Learned()
+          ? durations_.HealthyMs(job, job.occurrences.at(id.occurrence),
+                                 static_cast<std::size_t>(id.step))
+          : static_cast<double>(step.estimate_ms) *
+                durations_.Ratio(job.spec.queue);
   return {.elapsed = now - task.started_at,
           .percent = task.percent,
           .unchanged = now - task.progressed_at,
-          .expected_ms = static_cast<double>(step.estimate_ms) *
-                         durations_[job.spec.queue].ratio,
+          .expected_ms = expected_ms,
           .checkpointable = step.checkpointable};
 }
 
+RunCircumstances PartitionOwner::CircumstancesOf(const WorkerState& worker,
+                                                 const StepSpec& step,
+                                                 const TaskRecord& task) const {
+  const std::int64_t first_run = (options_.term - 1) * kRunsPerTerm + 1;
+  const std::string& rack = step.preferred_rack;
+  return {
+      .partly_seen =
+          task.run < first_run || (step.checkpointable && task.run > first_run),
+      .slowed = worker.outlier_detector.OutlierScore(deps_.clock->Now()) > 0 ||
+                (!rack.empty() && rack != worker.capacity.rack) || step.filler};
+}
+
 void PartitionOwner::FindStragglers() {
   for (const auto& [worker_id, worker] : workers_) {
     if (worker->link->Silent()) NoteSilence(worker.get());
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -356,11 +356,9 @@
   }
   const StepSpec& step =
       job->spec.steps[static_cast<std::size_t>(end.task.step)];
-  if (current && end.kind == EndKind::kDone && step.estimate_ms > 0 &&
-      task->started_at != TimePoint{}) {
-    durations_[job->spec.queue].AddSample(
-        static_cast<double>((now - task->started_at).count()),
-        static_cast<double>(step.estimate_ms));
+  if (current && task->started_at != TimePoint{}) {
+    durations_.AddRun(job, end.task, end.kind, now - task->started_at,
+                      CircumstancesOf(*worker, step, *task));
   }
   if (end.kind == EndKind::kDone || end.kind == EndKind::kFailed) {
     worker->outlier_detector.RecordRunEnd(end.task.job,
--- a/unittests/Partition/FleetSim.cc
+++ b/unittests/Partition/FleetSim.cc
@@ -100,11 +100,13 @@
                         .advisor = advisor,
                         .timers = &timers,
                         .clock = &timers,
-                        .formats = &formats},
+                        .formats = &formats,
+                        .counters = counters},
       OwnerOptions{.node = "node-" + std::to_string(term_),
                    .term = term_,
                    .starts_stored_since = starts_stored_since,
-                   .term_revision = revision},
+                   .term_revision = revision,
+                   .learned_durations = learned_durations},
       PartitionOwner::Listener{
           .on_deposed = [this, term = term_] { CloseDeposedOwner(term); },
           .confirmed_until =
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -280,6 +280,8 @@
   bool ends_on_time = false;
   /// Most ended runs in the answer to one Hold call.
   std::size_t max_ends_per_poll = 500;
+  /// Duration of the tasks of these jobs, if not as declared.
+  std::map<std::string, Millis> actual_durations;
   int starts_without_ticket = 0;
   int peak_in_maintenance = 0;
   int moves = 0;
@@ -410,6 +412,9 @@
   LongLeases former_leases;
   /// OwnerOptions::starts_stored_since of later owners.
   std::int64_t starts_stored_since = 1;
+  /// OwnerOptions::learned_durations and counters of later owners.
+  bool learned_durations = false;
+  Counters* counters = nullptr;
   /// The current owner can confirm its term.
   bool can_confirm_term = true;
   /// Connection to the store of the owner of each term. An owner that is cut
--- a/unittests/Partition/SimFleet.cc
+++ b/unittests/Partition/SimFleet.cc
@@ -357,12 +357,15 @@
                    [this, id = worker->id] { CrashAndRestart(id); });
   }
   const TimePoint now = timers_->Now();
+  const auto actual = actual_durations.find(command.task.job);
+  const Millis duration = actual == actual_durations.end()
+                              ? Millis(step.estimate_ms)
+                              : actual->second;
   last_start_[command.task] = now;
   worker->running[command.task] = {
       .run = command.run,
       .started_at = now,
-      .ends_at = step.lasting ? now + Millis(100000000)
-                              : now + Millis(step.estimate_ms),
+      .ends_at = now + (step.lasting ? Millis(100000000) : duration),
       .kind = worker->fails_all_tasks ? EndKind::kFailed : EndKind::kDone,
       .charge = Charge(step),
       .serving = step.target_ms > 0,
