--- a/include/basilusher/Node/NodeAgent.h
+++ b/include/basilusher/Node/NodeAgent.h
@@ -55,6 +55,11 @@
   void SetBounds(Millis task_lease, Millis max_task_lease,
                  Millis final_retention, Millis holder_lease,
                  Millis max_view_age);
+  /// The same for OwnerOptions::learned_durations and workspace_shares.
+  void SetScheduling(bool learned_durations, bool workspace_shares) {
+    options_.owner.learned_durations = learned_durations;
+    options_.owner.workspace_shares = workspace_shares;
+  }
   /// Ends the term that a peer says is over; true if none is held after it. No
   /// term below `term` begins here from then on.
   bool EndTermBelow(std::int64_t term);
--- a/include/basilusher/Partition/OwnerOptions.h
+++ b/include/basilusher/Partition/OwnerOptions.h
@@ -116,6 +116,9 @@
   /// Each round of placement ranks the jobs of all pools, also of those in
   /// which nothing can start. The decisions are the same; for tests of that.
   bool rank_all_pools = false;
+  /// Expected durations are learned from finished runs; otherwise declared
+  /// estimates are scaled.
+  bool learned_durations = false;
 };
 
 }  // namespace basilusher
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -22,8 +22,6 @@
 constexpr Millis kInstanceArrival{1500};
 /// Mean share of a running task's duration that is still to come.
 constexpr double kMeanShareLeft = 0.5;
-/// The runs of a term are numbered from (term - 1) * kRunsPerTerm + 1.
-constexpr std::int64_t kRunsPerTerm = 1000;
 
 }  // namespace
 
@@ -68,6 +66,7 @@
     FindStragglers();
     Dispatch();
     wait_report_.Report();
+    durations_.Report(options_.term, now);
   } else {
     CheckLoading();
   }
@@ -189,7 +188,8 @@
     if (queue == nullptr) continue;
     PoolWorkers* pool = round_pools_.Of(*job, *queue);
     if (pool == nullptr || !pool->open) continue;
-    const double ratio = durations_[job->spec.queue].ratio;
+    const bool learned = durations_.Learned();
+    const double ratio = learned ? 1 : durations_.Ratio(job->spec.queue);
     for (auto& [number, occurrence] : job->occurrences) {
       bool is_waiting = false;
       BacklogJob backlog;
@@ -200,7 +200,10 @@
         const int waiting =
             static_cast<int>(step.tasks.size()) - step.done - step.active;
         const double cores = static_cast<double>(Charge(spec).cpu_millis) / 1e3;
-        const double task_core_ms = cores * StepDurationMs(spec, ratio);
+        const double task_core_ms =
+            cores * (learned && !spec.lasting
+                         ? durations_.MeanMs(*job, occurrence, s, now)
+                         : StepDurationMs(spec, ratio));
         is_waiting = is_waiting || waiting > 0;
         if (spec.lasting) {
           pool->cores -= cores * step.active;
@@ -209,10 +212,14 @@
         backlog.work_core_ms += task_core_ms * waiting;
         waiting_cores += cores * waiting;
         backlog.started = backlog.started || step.active + step.done > 0;
-        pool->running_core_ms += task_core_ms * step.active * kMeanShareLeft;
+        pool->running_core_ms +=
+            learned ? cores * durations_.LeftMs(*job, occurrence, s, now)
+                    : task_core_ms * step.active * kMeanShareLeft;
       }
       if (!is_waiting) continue;
-      const Urgency urgency = RankJob(*job, occurrence, *queue, ratio, now);
+      const Urgency urgency =
+          learned ? RankJob(*job, occurrence, *queue, durations_, now)
+                  : RankJob(*job, occurrence, *queue, ratio, now);
       backlog.slack_ms = urgency.slack_ms;
       candidates.push_back(
           {.urgency = urgency,
--- a/unittests/Partition/FleetSim.cc
+++ b/unittests/Partition/FleetSim.cc
@@ -111,13 +111,15 @@
                         .timers = &timers,
                         .clock = &timers,
                         .formats = &formats,
+                        .counters = counters,
                         .evacuations = evacuations},
       OwnerOptions{.node = "node-" + std::to_string(term_),
                    .term = term_,
                    .starts_stored_since = starts_stored_since,
                    .term_revision = revision,
                    .workspace_shares = workspace_shares,
-                   .rank_all_pools = rank_all_pools},
+                   .rank_all_pools = rank_all_pools,
+                   .learned_durations = learned_durations},
       PartitionOwner::Listener{
           .on_deposed = [this, term = term_] { CloseDeposedOwner(term); },
           .confirmed_until =
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -300,6 +300,8 @@
   /// Tasks that end by themselves report their progress. Otherwise they report
   /// 100 percent once they work, as lasting tasks do.
   bool reports_progress = false;
+  /// Duration of the tasks of these jobs, if not as declared.
+  std::map<std::string, Millis> actual_durations;
   int starts_without_ticket = 0;
   int peak_in_maintenance = 0;
   int moves = 0;
@@ -443,6 +445,9 @@
   std::int64_t starts_stored_since = 1;
   /// OwnerOptions::rank_all_pools of later owners.
   bool rank_all_pools = false;
+  /// OwnerOptions::learned_durations and counters of later owners.
+  bool learned_durations = false;
+  Counters* counters = nullptr;
   /// The current owner can confirm its term.
   bool can_confirm_term = true;
   /// Connection to the store of the owner of each term. An owner that is cut
