Tests of decoders: choose alike at every size, guard repeated lists

The library's ranges give small numbers alone at small sizes, so that rare values were hardly generated: a reader that let the rows of a repeated list stay passed. The generators now choose at full size, and one test names that case.

--- a/unittests/Platform/AnyJson.h
+++ b/unittests/Platform/AnyJson.h
@@ -15,10 +15,14 @@
 
 namespace basilusher {
 
-/// True once in `n` times.
-inline bool OneIn(int n) { return *rc::gen::inRange(0, n) == 0; }
+/// A number in 0..`n`-1, all alike: at the library's smaller sizes it would
+/// give small ones alone.
+inline int AnyBelow(int n) {
+  return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, n));
+}
 
-inline int AnyBelow(int n) { return *rc::gen::inRange(0, n); }
+/// True once in `n` times.
+inline bool OneIn(int n) { return AnyBelow(n) == 0; }
 
 /// A value of any type, among them numbers at the limits.
 inline Json AnyValue() {
--- a/unittests/Platform/WorkerCodecTest.cc
+++ b/unittests/Platform/WorkerCodecTest.cc
@@ -127,6 +127,13 @@
                               R"([[7,"a.0.1.2",3,"lapsed","c"]],false])");
 }
 
+/// As in a document, the last of several fields of one name holds.
+TEST(WorkerCodec, ARepeatedListReplacesTheEarlierOne) {
+  const HoldAnswer answer = DecodeHoldAnswer(
+      R"({"ClockMs":5,"Running":[["b.0.0.0",4,"s"]],"Running":[]})");
+  EXPECT_EQ(Describe(answer), R"(["done",5,0,[],[],false])");
+}
+
 RC_GTEST_PROP(WorkerCodec, OrdersAreEncodedAsDocuments,
               (const std::string& text, std::int64_t number, bool present)) {
   // Bytes that are not UTF-8 are refused; JsonTextTest covers them.
