Bound what clients may hold of a node's memory and descriptors

Cause: Beast bounds a head and a body, but not what it buffers of chunk extensions and trailers, nor what many connections hold together. Idle connections to the ready, metrics and peer addresses could use up all descriptors. A response to the node was buffered without a bound in the same way.

Change: the servers of a node share one ClientBudget, a quarter of Limits.MemoryMb. Sessions feed the parser themselves, count what they buffer and reject or close beyond the budget; large bodies get 503 with Retry-After before a handler sees them, and leave a quarter to small requests. Extensions and trailers count towards the head's limit. A head has at most 256 fields. Each address has a number of connections of its own; a new one replaces the one that has rested for longest. HttpClient bounds its read buffer, and the answers of workers have limits of their own. An age counts from the last rest, or a connection that had served requests for long would be closed first.

--- a/include/basilusher/Net/HttpServer.h
+++ b/include/basilusher/Net/HttpServer.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "basilusher/Net/ClientBudget.h"
 #include "basilusher/Net/IoLoop.h"
 #include "basilusher/Support/Clock.h"
 
@@ -43,14 +44,22 @@
 struct HttpServerOptions {
   /// IPv4 address and port, as "10.0.0.1:80".
   std::string address;
+  /// Bound on a request's head, and again on its chunk extensions and on its
+  /// trailers.
   std::size_t max_header_bytes = std::size_t{16} * 1024;
+  /// Fields of a head; each takes far more memory than its text.
+  std::size_t max_header_fields = 256;
   std::size_t max_body_bytes = std::size_t{256} * 1024;
-  /// Time to receive a request once its first byte has come, and to send an
-  /// answer to a reader that is slow.
+  /// Time to receive a whole request once its first byte has come, and to send
+  /// a whole answer to a reader that is slow.
   Millis read_timeout{3000};
   /// Time that a connection may rest between requests.
   Millis idle_timeout{15000};
+  /// Beyond this number a new connection replaces the one that has rested, or
+  /// whose request has been incomplete, for longest.
   std::size_t max_connections = 1500;
+  /// Shared by the servers of one process; null for a budget of its own.
+  std::shared_ptr<ClientBudget> budget;
 };
 
 /// Serves one address. Not thread-safe: all calls from the I/O thread.
--- a/include/basilusher/Node/Peers.h
+++ b/include/basilusher/Node/Peers.h
@@ -75,8 +75,9 @@
 /// Serves a node's methods over HTTP. Not thread-safe: I/O thread only.
 class PeerServer {
  public:
+  /// `options` name the address and the limits but for that of bodies.
   /// `methods` must outlive the server.
-  PeerServer(IoLoop* loop, const std::string& address,
+  PeerServer(IoLoop* loop, HttpServerOptions options,
              const PeerMethods* methods);
 
  private:
--- a/lib/Net/HttpClient.cc
+++ b/lib/Net/HttpClient.cc
@@ -136,6 +136,7 @@
     parser_.emplace();
     parser_->body_limit(shared_->options.max_body_bytes);
     parser_->eager(true);
+    buffer_.max_size(kLargestRead + kMaxUnparsed);
     read_size_ = kFirstRead;
     ReadSome();
   }
@@ -153,6 +154,10 @@
   }
 
   void OnRead(beast::error_code ec) {
+    if (ec == http::error::buffer_overflow) {
+      LogEvent(LogLevel::kWarning, "answer-beyond-limits",
+               {{"address", address_}, {"max_bytes", kMaxUnparsed}});
+    }
     if (ec) {
       return Finish({.outcome = CallOutcome::kLost}, false,
                     ec == beast::error::timeout);
@@ -263,6 +268,9 @@
   /// A long answer takes a turn of the event loop for each read, so reads grow.
   static constexpr std::size_t kFirstRead = 2048;
   static constexpr std::size_t kLargestRead = std::size_t{64} * 1024;
+  /// Room beside one read for what the parser can't take yet: one chunk's
+  /// extensions or the trailers, which the library does not bound.
+  static constexpr std::size_t kMaxUnparsed = std::size_t{16} * 1024;
 
   std::shared_ptr<Shared> shared_;
   std::string address_;
--- a/lib/Node/Peers.cc
+++ b/lib/Node/Peers.cc
@@ -13,6 +13,11 @@
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
 
+HttpServerOptions WithPeerBody(HttpServerOptions options) {
+  options.max_body_bytes = kMaxPeerBody;
+  return options;
+}
+
 }  // namespace
 
 void PeerClient::Call(const std::string& address, const char* path,
@@ -47,10 +52,10 @@
   return method == methods_.end() ? nullptr : &method->second;
 }
 
-PeerServer::PeerServer(IoLoop* loop, const std::string& address,
+PeerServer::PeerServer(IoLoop* loop, HttpServerOptions options,
                        const PeerMethods* methods)
     : methods_(methods),
-      server_(loop, {.address = address, .max_body_bytes = kMaxPeerBody},
+      server_(loop, WithPeerBody(std::move(options)),
               [this](const HttpRequest& request, const HttpResponder& respond) {
                 Serve(request, respond);
               }) {}
