Bound what callers may hold of an entry's memory, threads and queue

Cause: cpp-httplib 0.11 bounds neither a head as a whole, nor a chunk's size line, nor a chunked body, and its timeouts hold for the gap between two bytes. Its queue of connections has no bound, so that 1,500 silent connections kept every ordinary caller out.

Bodies above 64 KB are taken from a budget, a fifth of the new setting memoryMb (256); beyond it they get 503 with Retry-After and code 301 before any route.

--- a/include/basilusher/Daemon/Settings.h
+++ b/include/basilusher/Daemon/Settings.h
@@ -2,6 +2,7 @@
 #ifndef BASILUSHER_DAEMON_SETTINGS_H_
 #define BASILUSHER_DAEMON_SETTINGS_H_
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,9 @@
   std::string operator_token_hash;
   /// Threads that serve callers; each waits with one request.
   int http_threads = 96;
+  /// Memory of the machine that the process may use; a part of it is for the
+  /// bodies of requests.
+  std::size_t memory_mb = 256;
   /// Longest time of a graceful shutdown.
   Millis shutdown_timeout{60000};
   /// File of the log; empty for standard error.
--- a/lib/Daemon/HttpFrontend.cc
+++ b/lib/Daemon/HttpFrontend.cc
@@ -128,13 +128,49 @@
   return kDefaultStatus;
 }
 
+namespace {
+
+/// Share of the memory for bodies. They take up to twice their size, and as
+/// much again while they are sent to a worker.
+constexpr std::size_t kBodyShareOfMemory = 5;
+/// Connections that may wait for each thread.
+constexpr std::size_t kWaitingPerThread = 4;
+constexpr int kRetryAfterMillis = 1000;
+
+std::size_t BudgetOf(const Settings& settings) {
+  return std::max(
+      kMostBodyBytes,
+      (std::size_t{1024} * 1024 * settings.memory_mb) / kBodyShareOfMemory);
+}
+
+Answer RefuseForMemory() {
+  Answer answer = Refuse(ResultCode::kOverloaded,
+                         "the bodies of other requests use up the memory");
+  answer.retry_after_ms = kRetryAfterMillis;
+  return answer;
+}
+
+}  // namespace
+
 class HttpFrontend::Impl {
  public:
-  explicit Impl(EntryServices* services) : services_(services) {
-    const int threads = services->settings.http_threads;
+  explicit Impl(EntryServices* services)
+      : services_(services),
+        server_(BudgetOf(services->settings), &services->counters) {
+    const std::size_t threads =
+        static_cast<std::size_t>(services->settings.http_threads);
     server_.new_task_queue = [threads] {
-      return new httplib::ThreadPool(threads);
+      return new BoundedTaskQueue(threads, kWaitingPerThread * threads);
     };
+    server_.set_pre_routing_handler(
+        [this](const httplib::Request& request, httplib::Response& response) {
+          if (server_.AcceptBody(request)) {
+            return httplib::Server::HandlerResponse::Unhandled;
+          }
+          WriteAnswer(RefuseForMemory(), "", &response);
+          response.status = kDefaultStatus;
+          return httplib::Server::HandlerResponse::Handled;
+        });
     server_.set_read_timeout(kReadTimeoutSeconds);
     server_.set_write_timeout(kWriteTimeoutSeconds);
     server_.set_keep_alive_timeout(kKeepAliveSeconds);
--- a/lib/Daemon/Settings.cc
+++ b/lib/Daemon/Settings.cc
@@ -26,6 +26,7 @@
     },
     "operatorTokenHash": {"type": "string", "pattern": "^[0-9a-f]{64}$"},
     "httpThreads": {"type": "integer", "minimum": 4, "maximum": 1024},
+    "memoryMb": {"type": "integer", "minimum": 64},
     "shutdownTimeoutMillis": {"type": "integer", "minimum": 0},
     "logFile": {"type": "string"},
     "seedPeers": {
@@ -65,6 +66,7 @@
   settings.operator_token_hash =
       json.at("operatorTokenHash").get<std::string>();
   settings.http_threads = json.value("httpThreads", settings.http_threads);
+  settings.memory_mb = json.value("memoryMb", settings.memory_mb);
   settings.shutdown_timeout =
       Millis(json.value("shutdownTimeoutMillis",
                         std::int64_t{settings.shutdown_timeout.count()}));
