Keep incomplete heads within the memory of a small machine

Change: small requests may be an eighth of the budget ahead; a small answer is sent in any case, since its request may have taken effect. A number in AnOldConnectionIsNotClosed... follows the eighth; the fuzz test's bound within a turn is tighter (it was twice the budget).

--- a/lib/Net/ClientBudget.cc
+++ b/lib/Net/ClientBudget.cc
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr Millis kLogPeriod{1000};
+/// Share of the budget that small requests may use ahead of what closed
+/// connections give back. Without a bound a flood of heads took twice the
+/// budget in one turn of the loop.
+constexpr std::size_t kShareAhead = 8;
 
 }  // namespace
 
@@ -41,7 +45,9 @@
   while (wanted - closing_bytes_ > options_.max_bytes) {
     if (!CloseHeaviest(holder)) return false;
   }
-  return use == Use::kSmall || wanted <= options_.max_bytes;
+  const std::size_t ahead =
+      use == Use::kSmall ? options_.max_bytes / kShareAhead : 0;
+  return wanted <= options_.max_bytes + ahead;
 }
 
 void ClientBudget::Release(Holder* holder) {
--- a/lib/Net/HttpServer.cc
+++ b/lib/Net/HttpServer.cc
@@ -330,7 +330,9 @@
     const ClientBudget::Use use = response_->body().size() <= kSmallBody
                                       ? ClientBudget::Use::kSmall
                                       : ClientBudget::Use::kResponse;
-    if (!shared_->options.budget->Hold(this, bytes, use)) {
+    // A small answer is sent in any case: its request may have taken effect.
+    if (!shared_->options.budget->Hold(this, bytes, use) &&
+        use != ClientBudget::Use::kSmall) {
       return CloseFor(ClientLimit::kMemory);
     }
     stream_.expires_after(shared_->options.read_timeout);
--- a/unittests/Net/ClientLimitsTest.cc
+++ b/unittests/Net/ClientLimitsTest.cc
@@ -130,7 +130,7 @@
            std::string(1000, 'x'),
        2);
   clock_.now += Millis(1000);
-  EXPECT_TRUE(budget->Hold(&first_, 50000, ClientBudget::Use::kSmall));
+  EXPECT_TRUE(budget->Hold(&first_, 38000, ClientBudget::Use::kSmall));
   loop.Get()->context.poll();
   // Both answers wait; an end of the connection would come behind them.
   ordinary.non_blocking(true);
@@ -173,7 +173,7 @@
     loop_.Get()->context.restart();
     loop_.Get()->context.poll();
     // Closed connections hold theirs until the next turn.
-    EXPECT_LE(budget_->HeldBytes(), 2 * kBudgetBytes);
+    EXPECT_LE(budget_->HeldBytes(), kBudgetBytes + kBudgetBytes / 8);
     loop_.Get()->context.restart();
     loop_.Get()->context.poll();
     EXPECT_LE(budget_->HeldBytes(), kBudgetBytes);
