--- a/lib/Net/HttpClient.cc
+++ b/lib/Net/HttpClient.cc
@@ -279,6 +279,7 @@
     parser_->eager(true);
     // The library reports the bytes that are in the buffer as read again.
     bytes_read_ -= buffer_.size();
+    buffer_.max_size(kLargestRead + kMaxUnparsed);
     ReadSome();
   }
 
@@ -295,6 +296,10 @@
   }
 
   void OnRead(beast::error_code ec) {
+    if (ec == http::error::buffer_overflow) {
+      LogEvent(LogLevel::kWarning, "answer-beyond-limits",
+               {{"address", address_}, {"max_bytes", kMaxUnparsed}});
+    }
     if (ec) {
       return Finish({.outcome = CallOutcome::kLost}, false, timed_out_);
     }
@@ -409,6 +414,9 @@
   /// A long answer takes a turn of the event loop for each read, so reads grow.
   static constexpr std::size_t kFirstRead = 2048;
   static constexpr std::size_t kLargestRead = std::size_t{64} * 1024;
+  /// Room beside one read for what the parser can't take yet: one chunk's
+  /// extensions or the trailers, which the library does not bound.
+  static constexpr std::size_t kMaxUnparsed = std::size_t{16} * 1024;
 
   std::shared_ptr<Shared> shared_;
   Shared::Pool* pool_;
