Bound heads and bodies in time separately, and heads by bytes alone

Cause: one deadline of HeaderTimeoutMs for a whole request and 256 fields for a head could reject requests within the configured limits: a body that arrives slowly, or a head of many short fields. Change: the head keeps HeaderTimeoutMs, the body gets IdleTimeoutMs; a head may have as many fields as fit into MaxHeaderBytes, and the budget counts them.

--- a/include/basilusher/Net/HttpServer.h
+++ b/include/basilusher/Net/HttpServer.h
@@ -47,13 +47,16 @@
   /// Bound on a request's head, and again on its chunk extensions and on its
   /// trailers.
   std::size_t max_header_bytes = std::size_t{16} * 1024;
-  /// Fields of a head; each takes far more memory than its text.
-  std::size_t max_header_fields = 256;
+  /// Fields of a head; each takes far more memory than its text, which the
+  /// budget counts. No head of `max_header_bytes` has more: a field takes four
+  /// bytes at least.
+  std::size_t max_header_fields = 4096;
   std::size_t max_body_bytes = std::size_t{256} * 1024;
-  /// Time to receive a whole request once its first byte has come, and to send
-  /// a whole answer to a reader that is slow.
+  /// Time to receive a whole head once its first byte has come, and to send a
+  /// whole answer to a reader that is slow.
   Millis read_timeout{3000};
-  /// Time that a connection may rest between requests.
+  /// Time that a connection may rest between requests, and time to receive a
+  /// whole body once its head is known.
   Millis idle_timeout{15000};
   /// Beyond this number a new connection replaces the one that has rested, or
   /// whose request has been incomplete, for longest.
--- a/lib/Net/HttpServer.cc
+++ b/lib/Net/HttpServer.cc
@@ -163,7 +163,8 @@
                              place_);
   }
 
-  /// One deadline for the whole request, however its bytes arrive.
+  /// One deadline for the whole head, however its bytes arrive; OnHead() sets
+  /// that of the body.
   void BeginRequest() {
     Enter(Phase::kReading);
     stream_.expires_after(shared_->options.read_timeout);
@@ -243,6 +244,10 @@
     expected_body_ =
         static_cast<std::size_t>(parser_->content_length().value_or(0));
     small_ = expected_body_ <= kSmallBody && !parser_->chunked();
+    // The time limit of heads says nothing about a body that arrives slowly.
+    if (!parser_->is_done()) {
+      stream_.expires_after(shared_->options.idle_timeout);
+    }
     return true;
   }
 
