--- a/test/node_test.py
+++ b/test/node_test.py
@@ -5,6 +5,7 @@
 import http.server
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -19,15 +20,24 @@
 PROGRAM = os.path.join(BUILD, "tools", "basilusher-node")
 
 
+# Below the ports that the system gives to outgoing connections and to servers
+# that ask for any: those took a port between its choice and its use.
+PORTS = range(20000, 30000)
+
+
 def free_ports(count):
     """Ports of the loopback address that nothing listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    ports = []
+    for port in random.sample(PORTS, len(PORTS)):
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise OSError("no free ports")
 
 
 class MuteStore(http.server.BaseHTTPRequestHandler):
