--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -333,7 +333,7 @@
   LogEvent(LogLevel::kInfo, "job-known",
            {{"job", id},
             {"queue", job->spec.queue},
-            {"steps", std::move(step_descriptions)},
+            {"steps", step_descriptions},
             {"inherited", job->inherited},
             {"source", source == JobSource::kOffer  ? "offer"
                        : source == JobSource::kList ? "list"
