Evict the tasks of draining workers before those of a wave

Cause: once a pool had room, one round stopped two tasks for the wave, within the limit, and then the two tasks of draining workers, which leave regardless of it. Change: tasks of draining workers are evicted first, so that the wave counts them as unavailable.

--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -34,13 +34,15 @@
   const Millis period =
       instance_operations_.empty() ? kIdleListPeriod : kBusyListPeriod;
   if (loaded_ && !listing_ && now - list_asked_at_ >= period) ListInstances();
+  // Before what may wait: tasks that leave with their worker count among the
+  // unavailable ones of their step.
+  if (loaded_) EvictFromDraining();
   if (may_order && instances_known_) {
     PlanWaves();
     PlanPools();
     for (auto& [id, op] : instance_operations_) AdvanceOperation(id, &op);
     SaveOrders();
   }
-  if (loaded_) EvictFromDraining();
   if (loaded_) evacuation_.MoveRuns();
   deps_.timers->After(kFleetPeriod,
                       [self = shared_from_this()] { self->FleetTick(); });
--- a/unittests/Partition/OwnerTest.cc
+++ b/unittests/Partition/OwnerTest.cc
@@ -3,6 +3,8 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "FleetSim.h"
 
 namespace basilusher {
@@ -243,6 +245,35 @@
   EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
 }
 
+// Both tasks were stopped in one round once there was room: that of the wave
+// first, within its step's limit, and that of the draining worker regardless of
+// it.
+TEST(OwnerTest, AWaveWaitsForTheTasksOfADrainingWorker) {
+  FleetSim sim;
+  SetUpFleet(&sim, 4);
+  sim.Submit(LastingJob(4, 1));
+  sim.Run(Millis(1000));
+  ASSERT_EQ(sim.fleet.RunningTasks(kJob), 4);
+  const std::vector<std::string> ids = sim.fleet.AliveWorkerIds();
+  sim.owner->SetWave({.number = 1,
+                      .instances = {"m-" + ids[0]},
+                      .ramp_s = 60,
+                      .max_at_once = 1});
+  sim.fleet.Drain(ids[1]);
+  sim.Run(Millis(500));
+  ASSERT_EQ(sim.fleet.RunningTasks(kJob), 4);
+  for (int i = 0; i < 2; ++i) sim.fleet.AddWorker("pool");
+  int fewest = 4;
+  for (int i = 0; i < 300; ++i) {
+    sim.Run(Millis(10));
+    fewest = std::min(fewest, sim.fleet.RunningTasks(kJob));
+  }
+  EXPECT_EQ(fewest, 3);
+  EXPECT_TRUE(sim.fleet.Find(ids[0])->running.empty());
+  EXPECT_EQ(sim.fleet.RunningTasks(kJob), 4);
+  EXPECT_THAT(sim.fleet.Violations(), testing::IsEmpty());
+}
+
 TEST(OwnerTest, WorkersWithoutAnInstanceDoNotDelayTasksAfterATakeOver) {
   FleetSim sim;
   SetUpFleet(&sim, 3);
