--- a/unittests/Schedule/WorkspaceShareTest.cc
+++ b/unittests/Schedule/WorkspaceShareTest.cc
@@ -238,6 +238,7 @@
 
 TEST(WorkspaceShare, ASteadySenderWithinItsWeightKeepsItsShareAfterATakeOver) {
   std::vector<JobArrival> open;
+  open.reserve(20);
   for (int i = 0; i < 20; ++i) {
     open.push_back({.workspace = "w", .weight = 5.0, .at = At(i * 200)});
   }
@@ -248,6 +249,7 @@
 // The order in which a list shows the jobs says nothing about their arrival.
 TEST(WorkspaceShare, TheOrderOfRestoredJobsDoesNotMatter) {
   std::vector<JobArrival> open;
+  open.reserve(30);
   for (int i = 0; i < 30; ++i) {
     open.push_back({.workspace = "w", .weight = 5.0, .at = At(i * 50)});
   }
