--- a/include/basilusher/Node/JobFront.h
+++ b/include/basilusher/Node/JobFront.h
@@ -11,6 +11,7 @@
 
 #include "basilusher/Node/CancellationNotifier.h"
 #include "basilusher/Node/CatalogKeeper.h"
+#include "basilusher/Node/JobLookup.h"
 #include "basilusher/Node/NodeAgent.h"
 #include "basilusher/Node/Peers.h"
 
@@ -31,22 +32,8 @@
     {SubmitResult::kUnknown, "unknown"},
 }};
 
-enum class FindResult { kFound, kAbsent, kUnavailable };
-
-struct FindAnswer {
-  FindResult result = FindResult::kUnavailable;
-  JobStatus job;
-};
-
 enum class CancelResult { kDone, kAbsent, kUnavailable };
 
-struct JobFrontPorts {
-  TransactionalStore* store = nullptr;
-  TimerService* timers = nullptr;
-  const Clock* clock = nullptr;
-  PeerCaller* peers = nullptr;
-};
-
 struct JobFrontOptions {
   RecordKeys keys;
   /// The owner is told of a cancellation until this long after it was stored:
@@ -103,8 +90,6 @@
   void Offer(const Submission& submission, std::int64_t revision);
   void Finish(const std::shared_ptr<Submission>& submission,
               SubmitResult result);
-  void FindInStore(const std::string& job, TimePoint deadline,
-                   std::function<void(FindAnswer)> done);
   void CancelInStore(const std::string& job, TimePoint deadline,
                      std::function<void(CancelResult)> done);
   /// A peer that may reach the store, another one at each call; empty if none
@@ -116,6 +101,7 @@
   std::shared_ptr<NodeAgent> agent_;
   std::shared_ptr<CatalogKeeper> catalogs_;
   std::shared_ptr<CancellationNotifier> notifier_;
+  std::shared_ptr<JobLookup> lookup_;
   std::size_t peers_taken_ = 0;
   /// Answers for callers that wait, by the caller's number.
   std::map<std::uint64_t, std::function<void()>> waiting_;
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -529,6 +529,8 @@
   /// Logs when tasks begin or cease to wait for unread workers, and a change of
   /// the time until which they wait.
   void ReportTakeOverWait();
+  /// Logs the end of one step of loading.
+  void LogLoading(const char* records, const StoreAnswer& answer) const;
   void LogRunStart(const JobRecord& job, const TaskId& id, std::int64_t run,
                    const WorkerState& worker) const;
   /// Logs the first evidence and tells the listener.
--- a/lib/Node/JobFront.cc
+++ b/lib/Node/JobFront.cc
@@ -15,25 +15,6 @@
 /// A store that only refuses is tried this often before the caller is told.
 constexpr int kMaxRefusals = 3;
 
-Json EncodeFound(const FindAnswer& answer) {
-  Json out = {{"known", answer.result == FindResult::kFound}};
-  if (answer.result == FindResult::kFound) {
-    out["state"] = NameOf(kJobStateNames, answer.job.state);
-    out["queue"] = answer.job.queue;
-  }
-  return out;
-}
-
-FindAnswer DecodeFound(const Json& in) {
-  if (!FieldOr(in, "known", false)) return {.result = FindResult::kAbsent};
-  const std::optional<JobState> state =
-      ValueOf(kJobStateNames, FieldOr(in, "state", std::string()));
-  if (!state) return {.result = FindResult::kUnavailable};
-  return {
-      .result = FindResult::kFound,
-      .job = {.state = *state, .queue = FieldOr(in, "queue", std::string())}};
-}
-
 }  // namespace
 
 struct JobFront::Submission {
@@ -65,7 +46,8 @@
       catalogs_(std::move(catalogs)),
       notifier_(std::make_shared<CancellationNotifier>(
           ports_.peers, ports_.timers, ports_.clock, agent_,
-          options.cancel_bound)) {}
+          options.cancel_bound)),
+      lookup_(std::make_shared<JobLookup>(ports_, keys_, agent_, catalogs_)) {}
 
 std::string JobFront::NextPeer() {
   std::vector<std::string> peers = catalogs_->PeersWithStore();
@@ -268,83 +250,7 @@
   done = Track<FindAnswer>(std::move(done), [] {
     return FindAnswer{.result = FindResult::kUnavailable};
   });
-  PartitionOwner* owner = agent_->LocalOwner();
-  if (owner != nullptr) {
-    const std::optional<JobStatus> shown = owner->Find(job);
-    if (shown) {
-      done({.result = FindResult::kFound, .job = *shown});
-      return;
-    }
-    FindInStore(job, deadline, std::move(done));
-    return;
-  }
-  const OwnerView* remote = agent_->RemoteOwner();
-  if (remote == nullptr) {
-    FindInStore(job, deadline, std::move(done));
-    return;
-  }
-  ports_.peers->Call(
-      remote->address, PeerPaths::kFind, {{"job", job}}, kOwnerTimeout,
-      [self = shared_from_this(), job, deadline,
-       done = std::move(done)](std::optional<Json> answer) {
-        const FindAnswer found = answer ? DecodeFound(*answer) : FindAnswer{};
-        if (found.result == FindResult::kFound) {
-          done(found);
-          return;
-        }
-        // The owner may not have heard of the job yet; the store decides.
-        self->FindInStore(job, deadline, done);
-      });
-}
-
-void JobFront::FindInStore(const std::string& job, TimePoint deadline,
-                           std::function<void(FindAnswer)> done) {
-  if (ports_.clock->Now() >= deadline) {
-    done({.result = FindResult::kUnavailable});
-    return;
-  }
-  const auto again = [self = shared_from_this(), job, deadline, done] {
-    self->ports_.timers->After(kRetryDelay, [self, job, deadline, done] {
-      self->FindInStore(job, deadline, done);
-    });
-  };
-  // The job's record goes in the same transaction that writes its final state:
-  // reading them in this order never misses both.
-  ports_.store->Get(keys_.job_prefix + job, [self = shared_from_this(), job,
-                                             done,
-                                             again](const StoreAnswer& a) {
-    if (a.status == TxnStatus::kOk && !a.items.empty()) {
-      try {
-        const JobSpec spec = DecodeJobSpec(a.items.front().value);
-        done({.result = FindResult::kFound,
-              .job = {.state = JobState::kQueued, .queue = spec.queue}});
-      } catch (const Error& error) {
-        LogEvent(LogLevel::kError, "job-unreadable",
-                 {{"job", job}, {"error", error.what()}});
-        done({.result = FindResult::kUnavailable});
-      }
-      return;
-    }
-    if (a.status != TxnStatus::kNotFound) return again();
-    self->ports_.store->Get(
-        self->keys_.final_prefix + job, [done, again](const StoreAnswer& b) {
-          if (b.status == TxnStatus::kNotFound) {
-            done({.result = FindResult::kAbsent});
-            return;
-          }
-          if (b.status != TxnStatus::kOk || b.items.empty()) {
-            return again();
-          }
-          const Json record =
-              Json::parse(b.items.front().value, nullptr, false);
-          const std::optional<JobState> state =
-              ValueOf(kJobStateNames, FieldOr(record, "s", std::string()));
-          if (!state) return done({.result = FindResult::kUnavailable});
-          done({.result = FindResult::kFound,
-                .job = {.state = *state,
-                        .queue = FieldOr(record, "q", std::string())}});
-        });
-  });
+  lookup_->Find(job, deadline, std::move(done));
 }
 
 void JobFront::Cancel(const std::string& job, TimePoint deadline,
@@ -386,12 +292,13 @@
                                again](const StoreAnswer& a) {
         if (a.status == TxnStatus::kNotFound) {
           // Ended or never accepted: tell which.
-          self->FindInStore(job, deadline, [done](const FindAnswer& found) {
-            done(found.result == FindResult::kFound ? CancelResult::kDone
-                 : found.result == FindResult::kAbsent
-                     ? CancelResult::kAbsent
-                     : CancelResult::kUnavailable);
-          });
+          self->lookup_->FindInStore(
+              job, deadline, [done](const FindAnswer& found) {
+                done(found.result == FindResult::kFound ? CancelResult::kDone
+                     : found.result == FindResult::kAbsent
+                         ? CancelResult::kAbsent
+                         : CancelResult::kUnavailable);
+              });
           return;
         }
         if (a.status != TxnStatus::kOk || a.items.empty()) return again();
@@ -428,17 +335,8 @@
 }
 
 void JobFront::Serve(PeerMethods* methods) {
+  lookup_->Serve(methods);
   const std::weak_ptr<JobFront> weak = weak_from_this();
-  methods->On(PeerPaths::kFind, [weak](const Json& body, PeerCallback done) {
-    const std::shared_ptr<JobFront> self = weak.lock();
-    PartitionOwner* owner =
-        self == nullptr ? nullptr : self->agent_->LocalOwner();
-    if (owner == nullptr) return done(std::nullopt);
-    const std::optional<JobStatus> shown = owner->Find(body.at("job"));
-    FindAnswer answer{.result = FindResult::kAbsent};
-    if (shown) answer = {.result = FindResult::kFound, .job = *shown};
-    done(EncodeFound(answer));
-  });
   methods->On(PeerPaths::kOffer, [weak](const Json& body, PeerCallback done) {
     const std::shared_ptr<JobFront> self = weak.lock();
     PartitionOwner* owner =
--- a/lib/Partition/OwnerLogs.cc
+++ b/lib/Partition/OwnerLogs.cc
@@ -108,6 +108,18 @@
             {"after_ms", waited.count()}});
 }
 
+void PartitionOwner::LogLoading(const char* records,
+                                const StoreAnswer& answer) const {
+  const TimePoint now = deps_.clock->Now();
+  LogEvent(LogLevel::kNotice, "owner-loading",
+           {{"term", options_.term},
+            {"records", records},
+            {"status", NameOf(kTxnStatusNames, answer.status)},
+            {"count", answer.items.size()},
+            {"after_ms", (now - began_at_).count()},
+            {"confirmed_for_ms", (listener_.confirmed_until() - now).count()}});
+}
+
 void PartitionOwner::LogRunStart(const JobRecord& job, const TaskId& id,
                                  std::int64_t run,
                                  const WorkerState& worker) const {
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -174,6 +174,7 @@
   deps_.store->List(options_.keys.progress_prefix,
                     [self = shared_from_this()](const StoreAnswer& answer) {
                       if (self->closed_) return;
+                      self->LogLoading("progress", answer);
                       if (answer.status != TxnStatus::kOk) {
                         self->deps_.timers->After(kLoadRetryDelay, [self] {
                           if (!self->closed_) self->LoadProgress();
@@ -196,6 +197,7 @@
   deps_.store->List(options_.keys.final_prefix, [self = shared_from_this()](
                                                     const StoreAnswer& answer) {
     if (self->closed_) return;
+    self->LogLoading("finals", answer);
     if (answer.status != TxnStatus::kOk) {
       self->deps_.timers->After(kLoadRetryDelay, [self] {
         if (!self->closed_) self->LoadFinals();
