Take over in slices, and end a take-over only if it does not come on

Callers got no answer about accepted jobs, and nothing was started, after a loss of power that a burst had preceded.

Cause: a new owner handled all records of a list, and then all tasks of all jobs, in one turn of the event loop, which also renews its node's lease of 1.5 s. With 26,000 jobs this takes longer than the lease, so that each owner lost its term while it loaded and the next one began anew. A limit of 6 s on the whole of loading, however far it had come, had the same effect on slower nodes.

Failed runs are inherited for jobs that have progress only, since others have none.

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -120,6 +120,7 @@
   // states, workers of earlier owners.
   void LoadProgress();
   void LoadFinals();
+  void ReadFinals(const std::vector<StoredItem>& items);
   void OnWorkerRecord(const WorkerRecord& record);
   void OnInbox(const StoredItem& item);
   void OnLoaded();
@@ -233,7 +234,7 @@
   std::optional<int> MaxAttempts(const JobRecord& job) const;
   /// Fails the jobs whose tasks have no attempts left by the present
   /// configuration: runs may have failed while it did not have their queue.
-  void FailExhaustedJobs();
+  void FailExhaustedJobs(const std::vector<JobRecord*>& jobs);
   /// True if the job's workspace may use `need` beside what its tasks use.
   bool WithinCap(const JobRecord& job, const Resources& need) const;
 
@@ -283,7 +284,7 @@
   /// The runs that were in doubt on the worker are none any more.
   void ClearSilence(WorkerState* worker);
   /// Takes over the runs that an earlier owner took for lost.
-  void InheritLostRuns();
+  void InheritLostRuns(JobRecord* job);
   void InheritLostRuns(const TaskId& id, TaskRecord* task);
   /// Begins the isolation of suspects that an earlier owner has recorded.
   void IsolateInherited(JobRecord* job);
@@ -364,6 +365,7 @@
   void CheckLoopLateness();
   /// Reports an owner that does not come to read its records.
   void CheckLoading();
+  void NoteLoadingProgress();
   /// Time since the last answer that confirmed the term; zero while the term is
   /// confirmed.
   Millis StoreSilence() const;
@@ -624,8 +626,8 @@
   TimePoint held_since_{};
   /// Since when starts have been held by an old view; zero if they are not.
   TimePoint stale_since_{};
-  /// Since when the records could have been read.
-  TimePoint loading_since_{};
+  /// When a record was last read, or the store last did not confirm the term.
+  TimePoint loading_progress_at_{};
   TimePoint list_asked_at_{};
   TimePoint pools_logged_at_{};
   TimePoint inbox_age_logged_at_{};
--- a/include/basilusher/Store/StoreWatcher.h
+++ b/include/basilusher/Store/StoreWatcher.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "basilusher/Net/IoLoop.h"
 #include "basilusher/Store/TransactionalStore.h"
@@ -53,6 +54,8 @@
   TimePoint UnbrokenSince() const { return unbroken_since_; }
 
  private:
+  using SharedItems = std::shared_ptr<const std::vector<StoredItem>>;
+
   /// One call to the store; `round` tells late answers from current ones.
   void List(std::int64_t round);
   void Watch(std::int64_t round, Millis wait);
@@ -62,6 +65,11 @@
   void ProbeLater(Millis delay);
   void OnAnswered(TimePoint sent_at);
   void Report(const StoredItem& item);
+  /// Reports each item, leaving the event loop to other events in between, and
+  /// then runs `done`.
+  void ReportInSlices(const SharedItems& items, std::function<void()> done);
+  /// Reports keys that a complete list does not show any more.
+  void ReportGone(const std::vector<StoredItem>& listed);
 
   TransactionalStore* store_;
   TimerService* timers_;
@@ -78,6 +86,8 @@
   int in_flight_ = 0;
   bool recovering_ = false;
   bool probe_planned_ = false;
+  /// An answer is being reported: nothing further is asked meanwhile.
+  bool probes_paused_ = false;
   bool loaded_ = false;
   bool must_list_ = true;
   bool closed_ = false;
--- a/lib/Partition/OwnerConfiguration.cc
+++ b/lib/Partition/OwnerConfiguration.cc
@@ -8,7 +8,11 @@
 
 void PartitionOwner::SetCatalog(std::shared_ptr<const Catalog> catalog) {
   UseCatalog(std::move(catalog));
-  if (loaded_) FailExhaustedJobs();
+  if (loaded_) {
+    std::vector<JobRecord*> all;
+    for (const auto& [id, job] : jobs_.All()) all.push_back(job.get());
+    FailExhaustedJobs(all);
+  }
   ScheduleDispatch();
 }
 
@@ -21,12 +25,12 @@
   }
 }
 
-void PartitionOwner::FailExhaustedJobs() {
+void PartitionOwner::FailExhaustedJobs(const std::vector<JobRecord*>& jobs) {
   std::vector<JobRecord*> exhausted;
-  for (const auto& [id, job] : jobs_.All()) {
+  for (JobRecord* job : jobs) {
     const std::optional<int> attempts = MaxAttempts(*job);
     if (!IsFinal(job->state) && attempts && HasExhaustedTask(*job, *attempts)) {
-      exhausted.push_back(job.get());
+      exhausted.push_back(job);
     }
   }
   for (JobRecord* job : exhausted) {
--- a/lib/Partition/OwnerCrashes.cc
+++ b/lib/Partition/OwnerCrashes.cc
@@ -310,19 +310,16 @@
   worker->runs_in_doubt.clear();
 }
 
-void PartitionOwner::InheritLostRuns() {
-  for (const auto& [job_id, record] : jobs_.All()) {
-    JobRecord* job = record.get();
-    std::optional<TaskId> crashes_workers;
-    ForEachTask(job, [&](const TaskId& id, TaskRecord* task) {
-      InheritLostRuns(id, task);
-      const StepSpec& step = job->spec.steps[static_cast<std::size_t>(id.step)];
-      if (MustGiveUp(step, *task)) crashes_workers = id;
-    });
-    IsolateInherited(job);
-    if (crashes_workers && !IsFinal(job->state)) {
-      GiveUpTask(job, *crashes_workers);
-    }
+void PartitionOwner::InheritLostRuns(JobRecord* job) {
+  std::optional<TaskId> crashes_workers;
+  ForEachTask(job, [&](const TaskId& id, TaskRecord* task) {
+    InheritLostRuns(id, task);
+    const StepSpec& step = job->spec.steps[static_cast<std::size_t>(id.step)];
+    if (MustGiveUp(step, *task)) crashes_workers = id;
+  });
+  IsolateInherited(job);
+  if (crashes_workers && !IsFinal(job->state)) {
+    GiveUpTask(job, *crashes_workers);
   }
 }
 
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -3,6 +3,7 @@
 
 #include "basilusher/Partition/PartitionOwner.h"
 #include "basilusher/Support/Log.h"
+#include "basilusher/Support/TurnTimer.h"
 
 namespace basilusher {
 namespace {
@@ -44,6 +45,7 @@
 
 void PartitionOwner::Tick() {
   if (closed_) return;
+  const TurnTimer timer(deps_.clock, "tick");
   const TimePoint now = deps_.clock->Now();
   if (loaded_) {
     const std::int64_t unix_ms = WallMicros() / 1000;
@@ -294,6 +296,7 @@
 
 void PartitionOwner::Dispatch() {
   if (!MayStart()) return;
+  const TurnTimer timer(deps_.clock, "dispatch");
   CheckLoopLateness();
   if (held_since_ != TimePoint{}) return;
   if (HasStaleView()) return;
--- a/lib/Partition/OwnerFleet.cc
+++ b/lib/Partition/OwnerFleet.cc
@@ -4,6 +4,7 @@
 #include "basilusher/Partition/PartitionOwner.h"
 #include "basilusher/Support/Json.h"
 #include "basilusher/Support/Log.h"
+#include "basilusher/Support/TurnTimer.h"
 
 namespace basilusher {
 namespace {
@@ -24,6 +25,7 @@
 }  // namespace
 
 void PartitionOwner::FleetTick() {
+  const TurnTimer timer(deps_.clock, "fleet");
   if (closed_) return;
   const TimePoint now = deps_.clock->Now();
   // An owner that may have been replaced sends no orders.
--- a/lib/Partition/OwnerFreshness.cc
+++ b/lib/Partition/OwnerFreshness.cc
@@ -17,8 +17,9 @@
 /// An owner that has held starts for this long by an old view does not keep up
 /// with its work.
 constexpr Millis kBehindLimit{1500};
-/// An owner whose store answers and that has not read its records after this
-/// time does not come to it.
+/// An owner whose store answers and that has read no further record for this
+/// time does not come to it. How long all of them take depends on their number:
+/// another node of the same strength would need as long.
 constexpr Millis kLoadLimit{6000};
 
 }  // namespace
@@ -26,12 +27,16 @@
 void PartitionOwner::CheckLoading() {
   const TimePoint now = deps_.clock->Now();
   // A silent store keeps the records from every node.
-  if (now >= listener_.confirmed_until()) loading_since_ = now;
-  if (now - loading_since_ >= kLoadLimit && listener_.on_behind) {
+  if (now >= listener_.confirmed_until()) loading_progress_at_ = now;
+  if (now - loading_progress_at_ >= kLoadLimit && listener_.on_behind) {
     listener_.on_behind();
   }
 }
 
+void PartitionOwner::NoteLoadingProgress() {
+  if (!loaded_) loading_progress_at_ = deps_.clock->Now();
+}
+
 void PartitionOwner::CheckLoopLateness() {
   const TimePoint now = deps_.clock->Now();
   const Millis late =
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -1,9 +1,11 @@
 // Loading of records when a term begins, and handling of submitted jobs.
 #include <algorithm>
 
+#include "basilusher/Net/Slices.h"
 #include "basilusher/Partition/PartitionOwner.h"
 #include "basilusher/Support/Json.h"
 #include "basilusher/Support/Log.h"
+#include "basilusher/Support/TurnTimer.h"
 
 namespace basilusher {
 namespace {
@@ -141,7 +143,7 @@
 void PartitionOwner::Begin(std::shared_ptr<const Catalog> catalog) {
   UseCatalog(std::move(catalog));
   began_at_ = deps_.clock->Now();
-  loading_since_ = began_at_;
+  loading_progress_at_ = began_at_;
   LoadProgress();
   LoadFinals();
   worker_recorder_->Load(
@@ -187,6 +189,7 @@
                         self->loaded_progress_[item.key.substr(skip)] = item;
                       }
                       self->progress_loaded_ = true;
+                      self->NoteLoadingProgress();
                       // Jobs are read after their progress, so a job whose
                       // progress is not listed has none.
                       self->inbox_->Begin();
@@ -194,26 +197,42 @@
 }
 
 void PartitionOwner::LoadFinals() {
-  deps_.store->List(options_.keys.final_prefix, [self = shared_from_this()](
-                                                    const StoreAnswer& answer) {
-    if (self->closed_) return;
-    self->LogLoading("finals", answer);
-    if (answer.status != TxnStatus::kOk) {
-      self->deps_.timers->After(kLoadRetryDelay, [self] {
-        if (!self->closed_) self->LoadFinals();
+  deps_.store->List(options_.keys.final_prefix,
+                    [self = shared_from_this()](const StoreAnswer& answer) {
+                      if (self->closed_) return;
+                      self->LogLoading("finals", answer);
+                      if (answer.status != TxnStatus::kOk) {
+                        self->deps_.timers->After(kLoadRetryDelay, [self] {
+                          if (!self->closed_) self->LoadFinals();
+                        });
+                        return;
+                      }
+                      self->ReadFinals(answer.items);
+                    });
+}
+
+void PartitionOwner::ReadFinals(const std::vector<StoredItem>& items) {
+  const std::shared_ptr<const std::vector<StoredItem>> shared =
+      std::make_shared<const std::vector<StoredItem>>(items);
+  RunInSlices(
+      deps_.timers, deps_.clock, shared->size(),
+      [self = shared_from_this(), shared](std::size_t i) {
+        if (self->closed_) return false;
+        self->NoteLoadingProgress();
+        const StoredItem& item = (*shared)[i];
+        const std::optional<JobStatus> status = DecodeFinal(item.value);
+        if (status) {
+          self->finals_[item.key.substr(
+              self->options_.keys.final_prefix.size())] = {
+              .status = *status, .stored_at = self->deps_.clock->Now()};
+        }
+        return true;
+      },
+      [self = shared_from_this()] {
+        if (self->closed_) return;
+        self->finals_loaded_ = true;
+        self->OnLoaded();
       });
-      return;
-    }
-    const std::size_t skip = self->options_.keys.final_prefix.size();
-    for (const StoredItem& item : answer.items) {
-      const std::optional<JobStatus> status = DecodeFinal(item.value);
-      if (!status) continue;
-      self->finals_[item.key.substr(skip)] = {
-          .status = *status, .stored_at = self->deps_.clock->Now()};
-    }
-    self->finals_loaded_ = true;
-    self->OnLoaded();
-  });
 }
 
 void PartitionOwner::OnWorkerRecord(const WorkerRecord& record) {
@@ -240,8 +259,8 @@
       !directory_->Loaded()) {
     return;
   }
+  const TurnTimer timer(deps_.clock, "loaded");
   loaded_ = true;
-  loaded_progress_.clear();
   LogEvent(LogLevel::kInfo, "owner-loaded",
            {{"term", options_.term},
             {"jobs", jobs_.All().size()},
@@ -250,8 +269,15 @@
             {"unread", unread_workers_.size()},
             {"after_ms", (deps_.clock->Now() - began_at_).count()}});
   if (catalog_ != nullptr) shares_.Restore(&jobs_, *catalog_);
-  InheritLostRuns();
-  FailExhaustedJobs();
+  // A job without progress has no failed runs.
+  std::vector<JobRecord*> begun;
+  for (const auto& [id, progress] : loaded_progress_) {
+    JobRecord* job = jobs_.Find(id);
+    if (job != nullptr) begun.push_back(job);
+  }
+  for (JobRecord* job : begun) InheritLostRuns(job);
+  FailExhaustedJobs(begun);
+  loaded_progress_.clear();
   // Reports can be matched to jobs only now that the jobs are known.
   for (const auto& [id, worker] : workers_) BeginLink(worker.get());
   ShortenOrphanedRunsWait();
@@ -262,6 +288,7 @@
 }
 
 void PartitionOwner::OnInbox(const StoredItem& item) {
+  NoteLoadingProgress();
   if (item.removed) return;
   const RecordKeys& keys = options_.keys;
   if (item.key.starts_with(keys.job_prefix)) {
--- a/lib/Partition/OwnerWorkers.cc
+++ b/lib/Partition/OwnerWorkers.cc
@@ -4,6 +4,7 @@
 
 #include "basilusher/Partition/PartitionOwner.h"
 #include "basilusher/Support/Log.h"
+#include "basilusher/Support/TurnTimer.h"
 
 namespace basilusher {
 namespace {
@@ -209,6 +210,7 @@
 
 void PartitionOwner::OnReport(const std::string& id, const HoldAnswer& answer,
                               TimePoint sent_at, bool settled) {
+  const TurnTimer timer(deps_.clock, "report");
   WorkerState* worker = FindWorker(id);
   if (worker == nullptr) return;
   worker->reported_at = deps_.clock->Now();
--- a/lib/Store/StoreWatcher.cc
+++ b/lib/Store/StoreWatcher.cc
@@ -3,7 +3,9 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
 
+#include "basilusher/Net/Slices.h"
 #include "basilusher/Support/Log.h"
 
 namespace basilusher {
@@ -55,7 +57,7 @@
   timers_->After(delay, [self = shared_from_this()] {
     self->probe_planned_ = false;
     if (self->closed_ || !self->recovering_) return;
-    if (self->in_flight_ < kMaxProbes) {
+    if (!self->probes_paused_ && self->in_flight_ < kMaxProbes) {
       ++self->in_flight_;
       if (self->must_list_) {
         self->List(self->round_);
@@ -102,32 +104,53 @@
     if (answer.status != TxnStatus::kOk) return self->OnFailure(round);
     self->must_list_ = false;
     self->revision_ = answer.revision;
-    std::set<std::string> present;
-    for (const StoredItem& item : answer.items) {
-      present.insert(item.key);
-      self->Report(item);
+    const SharedItems items =
+        std::make_shared<const std::vector<StoredItem>>(answer.items);
+    self->ReportInSlices(items, [self, sent_at, items] {
+      self->ReportGone(*items);
       if (self->closed_) return;
-    }
-    std::vector<std::string> gone;
-    for (const auto& [key, revision] : self->revisions_) {
-      // A list of an older state does not show what was written after it.
-      if (!present.contains(key) && revision <= answer.revision) {
-        gone.push_back(key);
+      self->OnAnswered(sent_at);
+      if (!self->loaded_) {
+        self->loaded_ = true;
+        if (self->listener_.on_loaded) self->listener_.on_loaded();
       }
-    }
-    for (const std::string& key : gone) {
-      self->Report({.key = key, .value = {}, .removed = true});
-      if (self->closed_) return;
-    }
-    self->OnAnswered(sent_at);
-    if (!self->loaded_) {
-      self->loaded_ = true;
-      if (self->listener_.on_loaded) self->listener_.on_loaded();
-    }
-    if (!self->closed_) self->Continue();
+      if (!self->closed_) self->Continue();
+    });
   });
 }
 
+void StoreWatcher::ReportGone(const std::vector<StoredItem>& listed) {
+  std::set<std::string_view> present;
+  for (const StoredItem& item : listed) present.insert(item.key);
+  std::vector<std::string> gone;
+  for (const auto& [key, revision] : revisions_) {
+    // A list of an older state does not show what was written after it.
+    if (!present.contains(key) && revision <= revision_) gone.push_back(key);
+  }
+  for (const std::string& key : gone) {
+    Report({.key = key, .value = {}, .removed = true});
+    if (closed_) return;
+  }
+}
+
+void StoreWatcher::ReportInSlices(const SharedItems& items,
+                                  std::function<void()> done) {
+  // Answers to other calls of this round are passed over from now on.
+  ++round_;
+  probes_paused_ = true;
+  RunInSlices(
+      timers_, clock_, items->size(),
+      [self = shared_from_this(), items](std::size_t i) {
+        if (self->closed_) return false;
+        self->Report((*items)[i]);
+        return !self->closed_;
+      },
+      [self = shared_from_this(), done = std::move(done)] {
+        self->probes_paused_ = false;
+        done();
+      });
+}
+
 void StoreWatcher::Watch(std::int64_t round, Millis wait) {
   const TimePoint sent_at = clock_->Now();
   store_->Watch(
@@ -142,12 +165,13 @@
           return self->OnFailure(round);
         }
         self->revision_ = std::max(self->revision_, answer.revision);
-        for (const StoredItem& item : answer.items) {
-          self->Report(item);
+        const SharedItems items =
+            std::make_shared<const std::vector<StoredItem>>(answer.items);
+        self->ReportInSlices(items, [self, sent_at] {
           if (self->closed_) return;
-        }
-        self->OnAnswered(sent_at);
-        self->Continue();
+          self->OnAnswered(sent_at);
+          self->Continue();
+        });
       });
 }
 
