Leave half of the event loop to other work than placement

A round of placement looks at each waiting job, and each report of a worker asks for another round a millisecond later. With 25,000 waiting jobs a round takes 40 to 50 ms of a whole core here, several times that on a node's share, so that rounds could follow each other without a pause and hold up the renewal of the node's lease and the answers to callers.

Change: RoundPacer puts a pause as long as the round after each round. Rounds below a millisecond, the usual case, are not delayed.

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -32,6 +32,7 @@
 #include "basilusher/Partition/WorkerRecorder.h"
 #include "basilusher/Schedule/AdviceCache.h"
 #include "basilusher/Schedule/PoolPlan.h"
+#include "basilusher/Schedule/RoundPacer.h"
 #include "basilusher/Schedule/WavePlan.h"
 #include "basilusher/Store/StoreWatcher.h"
 #include "basilusher/Store/TransactionalStore.h"
@@ -357,6 +358,8 @@
   // runs of earlier owners that hold it back.
   void ScheduleDispatch();
   void Dispatch();
+  /// One round of placement.
+  void PlaceWaitingTasks();
   /// True if the term was confirmed so recently that leases may be renewed.
   bool MayRenewLeases() const;
   bool MayStart() const;
@@ -620,6 +623,7 @@
   bool orders_loaded_ = false;
   bool saving_orders_ = false;
   /// When the tick that is scheduled is due.
+  RoundPacer round_pacer_;
   TimePoint next_tick_at_{};
   /// When the event loop was last found late; starts wait for an inbox read
   /// after it. Zero if they need not wait.
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -37,7 +37,9 @@
 void PartitionOwner::ScheduleDispatch() {
   if (dispatch_scheduled_ || closed_) return;
   dispatch_scheduled_ = true;
-  deps_.timers->After(kDispatchDelay, [self = shared_from_this()] {
+  const Millis delay =
+      round_pacer_.DelayFrom(deps_.clock->Now(), kDispatchDelay);
+  deps_.timers->After(delay, [self = shared_from_this()] {
     self->dispatch_scheduled_ = false;
     if (!self->closed_) self->Dispatch();
   });
@@ -68,7 +70,11 @@
     ReportTakeOverWait();
     DropKeptJobs();
     FindStragglers();
-    Dispatch();
+    if (round_pacer_.MayBegin(deps_.clock->Now())) {
+      Dispatch();
+    } else {
+      ScheduleDispatch();
+    }
     wait_report_.Report();
     durations_.Report(options_.term, now);
   } else {
@@ -297,6 +303,12 @@
 void PartitionOwner::Dispatch() {
   if (!MayStart()) return;
   const TurnTimer timer(deps_.clock, "dispatch");
+  const TimePoint began_at = deps_.clock->Now();
+  PlaceWaitingTasks();
+  round_pacer_.NoteRound(began_at, deps_.clock->Now());
+}
+
+void PartitionOwner::PlaceWaitingTasks() {
   CheckLoopLateness();
   if (held_since_ != TimePoint{}) return;
   if (HasStaleView()) return;
