Bound callers' calls to the store and keep them apart from the node's own

While a burst met a slow store, requests for jobs and renewals of leases were lost together, and nodes lost their leases by the dozen.

Cause: submissions, look-ups, renewals, watches and the owner's lists shared 16 connections and one queue, and nothing bounded the calls for callers: each was tried again 60 ms later, first by this node and then through a peer.

Change: requests of callers have connections of their own. CallLimiter bounds those that are under way for submissions and for look-ups, each from 4 to 16 a node by additive increase and multiplicative decrease. A submission beyond it is refused after three tries, 120 ms; a look-up waits without a call. A look-up is answered by its deadline, and leaves the store half of its time.

Not mended by it: half of the renewals is lost while answers are lost, and leases with them.

--- a/include/basilusher/Node/JobFront.h
+++ b/include/basilusher/Node/JobFront.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include "basilusher/Node/CallLimiter.h"
 #include "basilusher/Node/CancellationNotifier.h"
 #include "basilusher/Node/CatalogKeeper.h"
 #include "basilusher/Node/JobLookup.h"
@@ -39,6 +40,10 @@
   /// The owner is told of a cancellation until this long after it was stored:
   /// nothing of the job may start later.
   Millis cancel_bound{3000};
+  /// Bounds on calls to the store that are under way for submissions, and for
+  /// requests for a job's state.
+  CallLimiterOptions submissions;
+  CallLimiterOptions lookups;
 };
 
 /// Each callback runs once. Not thread-safe: I/O thread only.
@@ -84,6 +89,8 @@
   void Advance(const std::shared_ptr<Submission>& submission);
   void AdvanceLater(const std::shared_ptr<Submission>& submission);
   void SubmitToStore(const std::shared_ptr<Submission>& submission);
+  /// The store, or this node's limit on calls to it, has refused a try.
+  void OnStoreRefusal(const std::shared_ptr<Submission>& submission);
   void SubmitThroughPeer(const std::shared_ptr<Submission>& submission,
                          const std::string& peer);
   /// Tells the owner of a job that has just been stored.
@@ -100,6 +107,7 @@
   RecordKeys keys_;
   std::shared_ptr<NodeAgent> agent_;
   std::shared_ptr<CatalogKeeper> catalogs_;
+  CallLimiter submissions_;
   std::shared_ptr<CancellationNotifier> notifier_;
   std::shared_ptr<JobLookup> lookup_;
   std::size_t peers_taken_ = 0;
--- a/include/basilusher/Node/JobLookup.h
+++ b/include/basilusher/Node/JobLookup.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "basilusher/Node/CallLimiter.h"
 #include "basilusher/Node/CatalogKeeper.h"
 #include "basilusher/Node/NodeAgent.h"
 #include "basilusher/Node/Peers.h"
@@ -67,7 +68,7 @@
 /// Each callback runs once. Not thread-safe: I/O thread only.
 class JobLookup : public std::enable_shared_from_this<JobLookup> {
  public:
-  JobLookup(JobFrontPorts ports, RecordKeys keys,
+  JobLookup(JobFrontPorts ports, CallLimiterOptions limits, RecordKeys keys,
             std::shared_ptr<NodeAgent> agent,
             std::shared_ptr<CatalogKeeper> catalogs);
 
@@ -84,6 +85,9 @@
 
  private:
   struct Request;
+  void AskStore(const std::shared_ptr<Request>& request);
+  /// Reads the job's record and, if it has none, its final state. Holds one of
+  /// the calls that the limit allows until both are read.
   void ReadJob(const std::shared_ptr<Request>& request);
   void ReadFinal(const std::shared_ptr<Request>& request);
   void ReadLater(const std::shared_ptr<Request>& request);
@@ -95,6 +99,7 @@
   RecordKeys keys_;
   std::shared_ptr<NodeAgent> agent_;
   std::shared_ptr<CatalogKeeper> catalogs_;
+  CallLimiter reads_;
   LineBudget log_budget_;
 };
 
--- a/include/basilusher/Store/MeasuredStore.h
+++ b/include/basilusher/Store/MeasuredStore.h
@@ -27,13 +27,14 @@
 }};
 
 /// Passes each call on to another store. Counts the answers in
-/// `store_calls_total{call,status}` and logs those of each second in which one
-/// failed. Outlives its calls. Not thread-safe: I/O thread only.
+/// `store_calls_total{for,call,status}` and logs those of each second in which
+/// one failed. Outlives its calls. Not thread-safe: I/O thread only.
 class MeasuredStore : public TransactionalStore {
  public:
-  /// `store`, `timers` and `counters` must outlive this object.
-  MeasuredStore(TransactionalStore* store, TimerService* timers,
-                Counters* counters);
+  /// The arguments must outlive this object. `purpose` names what the calls are
+  /// for.
+  MeasuredStore(const char* purpose, TransactionalStore* store,
+                TimerService* timers, Counters* counters);
 
   void Get(const std::string& key, StoreAnswerCallback done) override;
   void List(const std::string& prefix, StoreAnswerCallback done) override;
@@ -52,6 +53,7 @@
   void Note(StoreCall call, TxnStatus status);
   void Report();
 
+  const char* purpose_;
   TransactionalStore* store_;
   TimerService* timers_;
   Counters* counters_;
--- /dev/null
+++ b/lib/Node/CallLimiter.cc
@@ -0,0 +1,39 @@
+// Additive increase and multiplicative decrease of calls under way.
+#include "basilusher/Node/CallLimiter.h"
+
+#include <algorithm>
+
+namespace basilusher {
+namespace {
+
+/// Calls that were sent side by side mostly fail together: they lower the limit
+/// once. Longer than a slow store's answer.
+constexpr Millis kLowerPeriod{200};
+constexpr double kLowerFactor = 0.5;
+
+bool ShowsOverload(TxnStatus status) {
+  return status == TxnStatus::kRefused || status == TxnStatus::kLost ||
+         status == TxnStatus::kUnreachable;
+}
+
+}  // namespace
+
+bool CallLimiter::TryBegin() {
+  if (in_flight_ + 1 > limit_) return false;
+  ++in_flight_;
+  return true;
+}
+
+void CallLimiter::End(TxnStatus status) {
+  --in_flight_;
+  if (!ShowsOverload(status)) {
+    limit_ = std::min(options_.most, limit_ + 1 / limit_);
+    return;
+  }
+  const TimePoint now = clock_->Now();
+  if (now - lowered_at_ < kLowerPeriod) return;
+  lowered_at_ = now;
+  limit_ = std::max(options_.least, limit_ * kLowerFactor);
+}
+
+}  // namespace basilusher
--- a/lib/Node/JobFront.cc
+++ b/lib/Node/JobFront.cc
@@ -44,10 +44,12 @@
       keys_(std::move(options.keys)),
       agent_(std::move(agent)),
       catalogs_(std::move(catalogs)),
+      submissions_(ports_.clock, options.submissions),
       notifier_(std::make_shared<CancellationNotifier>(
           ports_.peers, ports_.timers, ports_.clock, agent_,
           options.cancel_bound)),
-      lookup_(std::make_shared<JobLookup>(ports_, keys_, agent_, catalogs_)) {}
+      lookup_(std::make_shared<JobLookup>(ports_, options.lookups, keys_,
+                                          agent_, catalogs_)) {}
 
 std::string JobFront::NextPeer() {
   std::vector<std::string> peers = catalogs_->PeersWithStore();
@@ -154,6 +156,7 @@
 }
 
 void JobFront::SubmitToStore(const std::shared_ptr<Submission>& submission) {
+  if (!submissions_.TryBegin()) return OnStoreRefusal(submission);
   Txn txn;
   txn.conditions.push_back({keys_.job_prefix + submission->id, 0});
   txn.conditions.push_back({keys_.final_prefix + submission->id, 0});
@@ -162,6 +165,7 @@
   submission->try_pending = true;
   ports_.store->Commit(
       txn, [self = shared_from_this(), submission](const StoreAnswer& answer) {
+        self->submissions_.End(answer.status);
         submission->try_pending = false;
         switch (answer.status) {
           case TxnStatus::kOk:
@@ -178,15 +182,19 @@
             return self->Advance(submission);
           default:
             submission->store_silent = true;
-            ++submission->refusals;
-            if (!submission->open_try && submission->refusals >= kMaxRefusals) {
-              return self->Finish(submission, SubmitResult::kRefused);
-            }
-            return self->AdvanceLater(submission);
+            return self->OnStoreRefusal(submission);
         }
       });
 }
 
+void JobFront::OnStoreRefusal(const std::shared_ptr<Submission>& submission) {
+  ++submission->refusals;
+  if (!submission->open_try && submission->refusals >= kMaxRefusals) {
+    return Finish(submission, SubmitResult::kRefused);
+  }
+  AdvanceLater(submission);
+}
+
 void JobFront::Offer(const Submission& submission, std::int64_t revision) {
   // Told only to the owner that the record names: a later one relies on that.
   if (submission.offered_term == 0 ||
--- a/lib/Node/JobLookup.cc
+++ b/lib/Node/JobLookup.cc
@@ -1,6 +1,7 @@
 // State of a job from the owner, or from its records in the store.
 #include "basilusher/Node/JobLookup.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -43,18 +44,20 @@
   OwnerReply owner = OwnerReply::kNotAsked;
   /// Attempts to read the job's records.
   int tries = 0;
+  bool answered = false;
   /// Outcome of the last read of each record; nothing if there was none.
   std::optional<TxnStatus> job_read;
   std::optional<TxnStatus> final_read;
 };
 
-JobLookup::JobLookup(JobFrontPorts ports, RecordKeys keys,
-                     std::shared_ptr<NodeAgent> agent,
+JobLookup::JobLookup(JobFrontPorts ports, CallLimiterOptions limits,
+                     RecordKeys keys, std::shared_ptr<NodeAgent> agent,
                      std::shared_ptr<CatalogKeeper> catalogs)
     : ports_(ports),
       keys_(std::move(keys)),
       agent_(std::move(agent)),
       catalogs_(std::move(catalogs)),
+      reads_(ports_.clock, limits),
       log_budget_(kMaxFailureLines) {}
 
 void JobLookup::Find(const std::string& job, TimePoint deadline,
@@ -72,15 +75,18 @@
                     {.result = FindResult::kFound, .job = *shown});
     }
     request->owner = OwnerReply::kNotShownHere;
-    return ReadJob(request);
+    return AskStore(request);
   }
   const OwnerView* remote = agent_->RemoteOwner();
   if (remote == nullptr) {
     request->owner = OwnerReply::kNoOwner;
-    return ReadJob(request);
+    return AskStore(request);
   }
+  // Half of the caller's time is left for the store.
+  const Millis timeout =
+      std::min(kOwnerTimeout, (deadline - request->asked_at) / 2);
   ports_.peers->Call(
-      remote->address, PeerPaths::kFind, {{"job", job}}, kOwnerTimeout,
+      remote->address, PeerPaths::kFind, {{"job", job}}, timeout,
       [self = shared_from_this(), request](std::optional<Json> answer) {
         const FindAnswer found = answer ? DecodeFound(*answer) : FindAnswer{};
         if (found.result == FindResult::kFound) {
@@ -88,16 +94,25 @@
         }
         request->owner = answer ? OwnerReply::kNotShown : OwnerReply::kNoAnswer;
         // The owner may not have heard of the job yet; the store decides.
-        self->ReadJob(request);
+        self->AskStore(request);
       });
 }
 
 void JobLookup::FindInStore(const std::string& job, TimePoint deadline,
                             std::function<void(FindAnswer)> done) {
-  ReadJob(std::make_shared<Request>(Request{.job = job,
-                                            .asked_at = ports_.clock->Now(),
-                                            .deadline = deadline,
-                                            .done = std::move(done)}));
+  AskStore(std::make_shared<Request>(Request{.job = job,
+                                             .asked_at = ports_.clock->Now(),
+                                             .deadline = deadline,
+                                             .done = std::move(done)}));
+}
+
+void JobLookup::AskStore(const std::shared_ptr<Request>& request) {
+  const Millis left = request->deadline - ports_.clock->Now();
+  if (left <= Millis(0)) return Fail(request, LookupFailure::kStoreUnanswered);
+  ports_.timers->After(left, [self = shared_from_this(), request] {
+    self->Fail(request, LookupFailure::kStoreUnanswered);
+  });
+  ReadJob(request);
 }
 
 void JobLookup::ReadLater(const std::shared_ptr<Request>& request) {
@@ -107,9 +122,8 @@
 }
 
 void JobLookup::ReadJob(const std::shared_ptr<Request>& request) {
-  if (ports_.clock->Now() >= request->deadline) {
-    return Fail(request, LookupFailure::kStoreUnanswered);
-  }
+  if (request->answered) return;
+  if (!reads_.TryBegin()) return ReadLater(request);
   ++request->tries;
   // The job's record goes in the same transaction that writes its final state:
   // reading them in this order never misses both.
@@ -120,6 +134,7 @@
         if (answer.status == TxnStatus::kNotFound) {
           return self->ReadFinal(request);
         }
+        self->reads_.End(answer.status);
         if (answer.status != TxnStatus::kOk || answer.items.empty()) {
           return self->ReadLater(request);
         }
@@ -141,6 +156,7 @@
   ports_.store->Get(
       keys_.final_prefix + request->job,
       [self = shared_from_this(), request](const StoreAnswer& answer) {
+        self->reads_.End(answer.status);
         request->final_read = answer.status;
         if (answer.status == TxnStatus::kNotFound) {
           return self->Answer(request, "no-record",
@@ -165,6 +181,8 @@
 
 void JobLookup::Answer(const std::shared_ptr<Request>& request,
                        const char* source, FindAnswer answer) {
+  if (request->answered) return;
+  request->answered = true;
   if (ports_.counters != nullptr) {
     ports_.counters->Add(std::string("lookups_total{source=\"") + source +
                          "\"}");
@@ -174,6 +192,8 @@
 
 void JobLookup::Fail(const std::shared_ptr<Request>& request,
                      LookupFailure failure) {
+  if (request->answered) return;
+  request->answered = true;
   const TimePoint now = ports_.clock->Now();
   if (ports_.counters != nullptr) {
     ports_.counters->Add(std::string("lookups_failed_total{cause=\"") +
--- a/lib/Store/MeasuredStore.cc
+++ b/lib/Store/MeasuredStore.cc
@@ -18,9 +18,9 @@
 
 }  // namespace
 
-MeasuredStore::MeasuredStore(TransactionalStore* store, TimerService* timers,
-                             Counters* counters)
-    : store_(store), timers_(timers), counters_(counters) {}
+MeasuredStore::MeasuredStore(const char* purpose, TransactionalStore* store,
+                             TimerService* timers, Counters* counters)
+    : purpose_(purpose), store_(store), timers_(timers), counters_(counters) {}
 
 void MeasuredStore::Get(const std::string& key, StoreAnswerCallback done) {
   store_->Get(key, Measure(StoreCall::kGet, std::move(done)));
@@ -61,9 +61,10 @@
 }
 
 void MeasuredStore::Note(StoreCall call, TxnStatus status) {
-  counters_->Add("store_calls_total{call=\"" +
-                 std::string(NameOf(kStoreCallNames, call)) + "\",status=\"" +
-                 std::string(NameOf(kTxnStatusNames, status)) + "\"}");
+  counters_->Add("store_calls_total{for=\"" + std::string(purpose_) +
+                 "\",call=\"" + std::string(NameOf(kStoreCallNames, call)) +
+                 "\",status=\"" + std::string(NameOf(kTxnStatusNames, status)) +
+                 "\"}");
   ++recent_[static_cast<std::size_t>(call)][static_cast<std::size_t>(status)];
   if (report_planned_ || !Failed(status)) return;
   report_planned_ = true;
@@ -72,7 +73,7 @@
 
 void MeasuredStore::Report() {
   report_planned_ = false;
-  Json fields = Json::object();
+  Json fields = {{"for", purpose_}};
   for (std::size_t call = 0; call < kCalls; ++call) {
     Json by_status = Json::object();
     for (std::size_t status = 0; status < kStatuses; ++status) {
