Renew a lease again before the renewal under way times out

Nodes lost their leases, and with them their terms, while the store lost half of its answers, in a burst and in calm.

Cause: the next renewal waited for the one before, which takes 800 ms to time out of a lease of 1.5 s, so that two lost answers in a row ended the lease.

Change: a renewal without an answer is followed by the next one after 200 ms. While the store answers, renewals are sent as before, each 400 ms.

--- a/include/basilusher/Node/NodeAgent.h
+++ b/include/basilusher/Node/NodeAgent.h
@@ -89,7 +89,9 @@
   void GrantLease();
   /// Asks for a lease until one is granted or another round begins.
   void AskForLease(std::int64_t round);
-  void KeepLease();
+  /// Renews `lease` when it is time, for as long as it is this node's lease.
+  void KeepLease(std::int64_t lease);
+  void RenewLease();
   void LoseLease(const char* reason);
   void Register();
   void OnControl(const StoredItem& item);
@@ -172,6 +174,7 @@
   std::int64_t grant_round_ = 0;
   /// This node does not stand for election before, as long as another can.
   TimePoint stands_again_at_{};
+  TimePoint next_renewal_at_{};
   TimePoint confirmed_until_{};
   bool standing_ = false;
   bool election_planned_ = false;
--- a/lib/Node/NodeAgent.cc
+++ b/lib/Node/NodeAgent.cc
@@ -12,8 +12,13 @@
 
 /// A node's lease: an owner that is lost is replaced after about this long.
 constexpr Millis kLeaseTtl{1500};
-/// Renewals leave room for two tries within the lease.
 constexpr Millis kRenewPeriod{400};
+/// A renewal without an answer is followed by the next one after this time,
+/// well before its own time-out: a store that loses half of its answers must
+/// not end the lease.
+constexpr Millis kRenewAgain{200};
+/// Least time between looks at the next renewal.
+constexpr Millis kRenewTick{20};
 constexpr Millis kRenewRetry{100};
 /// Between requests for a lease. A silent store must not delay the next one by
 /// a call's timeout: the strongest node is to be ready first when it returns.
@@ -73,15 +78,27 @@
     self->confirmed_until_ = sent_at + kLeaseTtl;
     self->Register();
     self->ConsiderElection();
-    self->ports_.timers->After(kRenewPeriod, [self] { self->KeepLease(); });
+    self->next_renewal_at_ = self->ports_.clock->Now() + kRenewPeriod;
+    self->KeepLease(self->lease_);
   });
   ports_.timers->After(kGrantPeriod, [self = shared_from_this(), round] {
     self->AskForLease(round);
   });
 }
 
-void NodeAgent::KeepLease() {
-  if (lease_ == 0) return;
+void NodeAgent::KeepLease(std::int64_t lease) {
+  if (lease != lease_) return;
+  const TimePoint now = ports_.clock->Now();
+  if (now >= next_renewal_at_) {
+    next_renewal_at_ = now + kRenewAgain;
+    RenewLease();
+  }
+  ports_.timers->After(
+      std::max(kRenewTick, next_renewal_at_ - now),
+      [self = shared_from_this(), lease] { self->KeepLease(lease); });
+}
+
+void NodeAgent::RenewLease() {
   const TimePoint sent_at = ports_.clock->Now();
   ports_.store->KeepLease(lease_, [self = shared_from_this(), sent_at,
                                    lease = lease_](const StoreAnswer& answer) {
@@ -90,10 +107,11 @@
       self->LoseLease("the lease has ended at the store");
       return;
     }
-    const bool kept = answer.status == TxnStatus::kOk;
-    if (kept) self->confirmed_until_ = sent_at + kLeaseTtl;
-    self->ports_.timers->After(kept ? kRenewPeriod : kRenewRetry,
-                               [self] { self->KeepLease(); });
+    if (answer.status != TxnStatus::kOk) return;
+    self->confirmed_until_ =
+        std::max(self->confirmed_until_, sent_at + kLeaseTtl);
+    self->next_renewal_at_ =
+        std::max(self->next_renewal_at_, sent_at + kRenewPeriod);
   });
 }
 
--- a/unittests/Node/LongTakeOverTest.cc
+++ b/unittests/Node/LongTakeOverTest.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "LeasePath.h"
 #include "SimNode.h"
 #include "basilusher/Support/Log.h"
 
@@ -18,36 +19,6 @@
 /// loading is replaced.
 constexpr Millis kLongTimePerJob{2};
 
-/// Ends leases that are renewed too late, as the store does.
-class LeasePath : public SimStorePath {
- public:
-  LeasePath(TransactionalStore* store, SimTimers* timers)
-      : SimStorePath(store, timers), timers_(timers) {}
-  void GrantLease(Millis ttl, StoreAnswerCallback done) override {
-    ttl_ = ttl;
-    lease_ends_ = timers_->Now() + ttl;
-    SimStorePath::GrantLease(ttl, std::move(done));
-  }
-  void KeepLease(std::int64_t lease, StoreAnswerCallback done) override {
-    if (timers_->Now() >= lease_ends_) {
-      ++leases_ended;
-      lease_ends_ = TimePoint::max();
-      timers_->After(Millis(4),
-                     [done] { done({.status = TxnStatus::kNotFound}); });
-      return;
-    }
-    lease_ends_ = timers_->Now() + ttl_;
-    SimStorePath::KeepLease(lease, std::move(done));
-  }
-
-  int leases_ended = 0;
-
- private:
-  SimTimers* timers_;
-  Millis ttl_{0};
-  TimePoint lease_ends_ = TimePoint::max();
-};
-
 /// Lets each job that an owner takes up cost time of its event loop.
 class CostlyJobs : public LogSink {
  public:
