Store what a start waits for first, and more side by side in a backlog

Lasting tasks did not run for 28 s in calm, with room for them, after a burst and a loss of power.

Cause: the start of a lasting task waits until it is stored, and the recorder wrote the records of all changed jobs in turn, three transactions at a time. With 2,000 jobs waiting for a record and a loop that is late by a round of placement, the turn came after more than 3 s, the start was dropped and its evidence queued behind the others again (task-waits: evidence-not-stored).

Change: saves that a start waits for are urgent and go first, and up to ten transactions are in flight in a long backlog. records_waiting and records-behind show the backlog.

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -534,6 +534,8 @@
   /// Logs when tasks begin or cease to wait for unread workers, and a change of
   /// the time until which they wait.
   void ReportTakeOverWait();
+  /// Reports records that wait to be stored.
+  void ReportRecords();
   /// Logs the end of one step of loading.
   void LogLoading(const char* records, const StoreAnswer& answer) const;
   void LogRunStart(const JobRecord& job, const TaskId& id, std::int64_t run,
@@ -635,6 +637,7 @@
   TimePoint list_asked_at_{};
   TimePoint pools_logged_at_{};
   TimePoint inbox_age_logged_at_{};
+  TimePoint records_logged_at_{};
   TimePoint cancellations_asked_at_{};
   bool listing_cancellations_ = false;
   bool listing_ = false;
--- a/include/basilusher/Partition/Recorder.h
+++ b/include/basilusher/Partition/Recorder.h
@@ -37,6 +37,12 @@
   std::vector<std::string> removed_prefixes;
 };
 
+enum class SavePriority {
+  kUsual,
+  /// Written before what waits: something is to begin once it is stored.
+  kUrgent,
+};
+
 /// Writes the latest snapshot of each changed job. Several jobs share a
 /// transaction and few transactions are in flight at a time, so that the number
 /// of writes follows the speed of the store and not the number of ended runs.
@@ -60,7 +66,10 @@
   /// Stores a snapshot of each job that is taken now or later, then calls
   /// `on_durable`.
   void Save(const std::vector<std::string>& jobs,
-            std::function<void()> on_durable);
+            std::function<void()> on_durable,
+            SavePriority priority = SavePriority::kUsual);
+  /// Jobs whose latest snapshot is not being written yet.
+  std::size_t Waiting() const { return dirty_.size(); }
   /// True if no write is pending or in flight.
   bool Idle() const { return dirty_.empty() && in_flight_ == 0; }
   /// No callback runs after this.
@@ -82,6 +91,9 @@
   /// transactions.
   void ScheduleFlush();
   void Flush();
+  /// Limit on transactions in flight: more while many jobs wait, since the time
+  /// of a transaction then bounds how many are written.
+  int MaxInFlight() const;
   Txn MakeTxn(const Batch& batch) const;
   void Send(std::shared_ptr<Batch> batch, std::shared_ptr<const Txn> txn);
   void OnAnswer(const std::shared_ptr<Batch>& batch,
@@ -97,6 +109,8 @@
   TimerService* timers_;
   RecorderKeys keys_;
   Listener listener_;
+  /// Jobs to be written, in this order. Those that have become urgent stand
+  /// here twice; one that is not in `dirty_` has been written.
   std::deque<std::string> dirty_order_;
   std::map<std::string, std::vector<std::shared_ptr<PendingSave>>> dirty_;
   std::map<std::string, std::int64_t> revisions_;
--- a/lib/Partition/OwnerCrashes.cc
+++ b/lib/Partition/OwnerCrashes.cc
@@ -396,12 +396,15 @@
 
 void PartitionOwner::StoreEvidence(const TaskId& id, TaskRecord* task) {
   ++task->evidence_writes;
-  recorder_->Save({id.job}, [self = shared_from_this(), id] {
-    TaskRecord* stored = self->jobs_.FindTask(id);
-    if (self->closed_ || stored == nullptr) return;
-    --stored->evidence_writes;
-    self->ScheduleDispatch();
-  });
+  recorder_->Save(
+      {id.job},
+      [self = shared_from_this(), id] {
+        TaskRecord* stored = self->jobs_.FindTask(id);
+        if (self->closed_ || stored == nullptr) return;
+        --stored->evidence_writes;
+        self->ScheduleDispatch();
+      },
+      SavePriority::kUrgent);
 }
 
 void PartitionOwner::IsolateInherited(JobRecord* job) {
--- a/lib/Partition/OwnerDispatch.cc
+++ b/lib/Partition/OwnerDispatch.cc
@@ -56,6 +56,7 @@
     }
     ForgetOldFinals();
     ReportInboxAge();
+    ReportRecords();
     ListCancellations();
     const bool renewing = MayRenewLeases();
     for (const auto& [id, worker] : workers_) {
--- a/lib/Partition/OwnerLogs.cc
+++ b/lib/Partition/OwnerLogs.cc
@@ -8,6 +8,10 @@
 namespace basilusher {
 namespace {
 
+/// Waiting records that are reported: several seconds of a slow store.
+constexpr std::size_t kRecordsBehind = 300;
+constexpr Millis kRecordsPeriod{1000};
+
 /// Milliseconds until `at`, negative if it has passed; null if it is zero.
 Json MillisUntil(TimePoint at, TimePoint now) {
   return at == TimePoint{} ? Json() : Json((at - now).count());
@@ -120,6 +124,19 @@
             {"confirmed_for_ms", (listener_.confirmed_until() - now).count()}});
 }
 
+void PartitionOwner::ReportRecords() {
+  const std::size_t waiting = recorder_->Waiting();
+  if (deps_.counters != nullptr) {
+    deps_.counters->Set("records_waiting", static_cast<std::int64_t>(waiting));
+  }
+  const TimePoint now = deps_.clock->Now();
+  if (waiting < kRecordsBehind || now - records_logged_at_ < kRecordsPeriod) {
+    return;
+  }
+  records_logged_at_ = now;
+  LogEvent(LogLevel::kNotice, "records-behind", {{"waiting", waiting}});
+}
+
 void PartitionOwner::LogRunStart(const JobRecord& job, const TaskId& id,
                                  std::int64_t run,
                                  const WorkerState& worker) const {
--- a/lib/Partition/OwnerSuspectStarts.cc
+++ b/lib/Partition/OwnerSuspectStarts.cc
@@ -58,12 +58,15 @@
   }
   const std::int64_t number = ++last_held_start_;
   held_starts_.emplace(number, std::move(held));
-  recorder_->Save({job->spec.id}, [self = shared_from_this(), number] {
-    const auto it = self->held_starts_.find(number);
-    if (self->closed_ || it == self->held_starts_.end()) return;
-    it->second.stored = true;
-    self->ScheduleDispatch();
-  });
+  recorder_->Save(
+      {job->spec.id},
+      [self = shared_from_this(), number] {
+        const auto it = self->held_starts_.find(number);
+        if (self->closed_ || it == self->held_starts_.end()) return;
+        it->second.stored = true;
+        self->ScheduleDispatch();
+      },
+      SavePriority::kUrgent);
 }
 
 void PartitionOwner::SendStoredStarts() {
@@ -182,7 +185,9 @@
     if (wait_for_store) StoreEvidence(member.task, task);
   }
   // Otherwise a later owner would count a run that was never sent.
-  if (!wait_for_store) recorder_->Save({job_id}, nullptr);
+  if (!wait_for_store) {
+    recorder_->Save({job_id}, nullptr, SavePriority::kUrgent);
+  }
   if (IsFinal(job->state)) DropIfFinished(job_id);
 }
 
--- a/lib/Partition/Recorder.cc
+++ b/lib/Partition/Recorder.cc
@@ -6,8 +6,12 @@
 namespace basilusher {
 namespace {
 
-/// Limit on transactions in flight.
-constexpr int kMaxInFlight = 3;
+/// Limits on transactions in flight, without a backlog and with a long one. The
+/// node has 16 connections to the store, of which watches and leases need some.
+constexpr int kUsualInFlight = 3;
+constexpr int kMostInFlight = 10;
+/// Waiting jobs for each transaction in flight: about three transactions full.
+constexpr std::size_t kWaitingPerTransaction = 30;
 /// Changes within this time share transactions. In a burst runs end every few
 /// milliseconds, and each transaction has a cost. The delay postpones the
 /// acknowledgement that lets the worker forget an end; no start waits for it.
@@ -32,7 +36,7 @@
 }
 
 void Recorder::Save(const std::vector<std::string>& jobs,
-                    std::function<void()> on_durable) {
+                    std::function<void()> on_durable, SavePriority priority) {
   const std::shared_ptr<PendingSave> pending = std::make_shared<PendingSave>();
   pending->jobs_left = jobs.size();
   pending->on_durable = std::move(on_durable);
@@ -42,7 +46,11 @@
   }
   for (const std::string& job : jobs) {
     const auto [it, added] = dirty_.try_emplace(job);
-    if (added) dirty_order_.push_back(job);
+    if (priority == SavePriority::kUrgent) {
+      dirty_order_.push_front(job);
+    } else if (added) {
+      dirty_order_.push_back(job);
+    }
     it->second.push_back(pending);
   }
   ScheduleFlush();
@@ -57,8 +65,15 @@
   });
 }
 
+int Recorder::MaxInFlight() const {
+  const std::size_t by_backlog = dirty_.size() / kWaitingPerTransaction;
+  return std::clamp(
+      static_cast<int>(std::min<std::size_t>(by_backlog, kMostInFlight)),
+      kUsualInFlight, kMostInFlight);
+}
+
 void Recorder::Flush() {
-  while (!closed_ && in_flight_ < kMaxInFlight && !dirty_order_.empty()) {
+  while (!closed_ && in_flight_ < MaxInFlight() && !dirty_order_.empty()) {
     const std::shared_ptr<Batch> batch = std::make_shared<Batch>();
     std::size_t entries = 1;
     std::deque<std::string> deferred;
@@ -66,6 +81,7 @@
            entries + kMaxEntriesPerJob <= kMaxTxnEntries) {
       std::string job = std::move(dirty_order_.front());
       dirty_order_.pop_front();
+      if (!dirty_.contains(job)) continue;
       if (writing_.contains(job)) {
         deferred.push_back(std::move(job));
         continue;
