Replace an owner that is behind only if its successor starts sooner

Change: the limit is the time that the owner's own loading took, where that is longer than 1.5 s. Starts are held meanwhile as before.

Evidence: LongTakeOverTest.AnOwnerThatIsBehindForLessThanALoad... fails with the former limit.

--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -634,6 +634,8 @@
   TimePoint stale_since_{};
   /// When a record was last read, or the store last did not confirm the term.
   TimePoint loading_progress_at_{};
+  /// How long the records took to load.
+  Millis load_time_{0};
   TimePoint list_asked_at_{};
   TimePoint pools_logged_at_{};
   TimePoint inbox_age_logged_at_{};
--- a/lib/Partition/OwnerFreshness.cc
+++ b/lib/Partition/OwnerFreshness.cc
@@ -15,7 +15,8 @@
 /// was late; more than the period of its watch.
 constexpr Millis kMaxStartHold{1500};
 /// An owner that has held starts for this long by an old view does not keep up
-/// with its work.
+/// with its work, unless loading took it longer: its successor would start
+/// nothing for that time.
 constexpr Millis kBehindLimit{1500};
 /// An owner whose store answers and that has read no further record for this
 /// time does not come to it. How long all of them take depends on their number:
@@ -107,7 +108,8 @@
               {"evacuations_age_ms",
                requests_age ? Json(requests_age->count()) : Json()}});
   }
-  if (now - stale_since_ >= kBehindLimit && listener_.on_behind) {
+  const Millis limit = std::max(kBehindLimit, load_time_);
+  if (now - stale_since_ >= limit && listener_.on_behind) {
     listener_.on_behind();
   }
   return true;
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -261,13 +261,14 @@
   }
   const TurnTimer timer(deps_.clock, "loaded");
   loaded_ = true;
+  load_time_ = deps_.clock->Now() - began_at_;
   LogEvent(LogLevel::kInfo, "owner-loaded",
            {{"term", options_.term},
             {"jobs", jobs_.All().size()},
             {"finals", finals_.size()},
             {"workers", workers_.size()},
             {"unread", unread_workers_.size()},
-            {"after_ms", (deps_.clock->Now() - began_at_).count()}});
+            {"after_ms", load_time_.count()}});
   if (catalog_ != nullptr) shares_.Restore(&jobs_, *catalog_);
   // A job without progress has no failed runs.
   std::vector<JobRecord*> begun;
--- a/unittests/Node/LongTakeOverTest.cc
+++ b/unittests/Node/LongTakeOverTest.cc
@@ -95,5 +95,22 @@
   EXPECT_EQ(agent->OwnerTerm(), 1);
 }
 
+/// A successor would load for longer than the owner is behind.
+TEST_F(LongTakeOverTest, AnOwnerThatIsBehindForLessThanALoadIsNotReplaced) {
+  agent->Begin();
+  sim.Run(Millis(8000));
+  ASSERT_NE(agent->LocalOwner(), nullptr);
+  sim.store.Put(RecordKeys().node_prefix + "b",
+                Json({{"address", "b:7000"}, {"strength", 0.5}}).dump());
+  sim.store.delayed_prefix = RecordKeys().inbox_prefix;
+  // One answer comes 3.5 s late.
+  sim.store.watch_delay = Millis(3500);
+  sim.Run(Millis(600));
+  sim.store.watch_delay = Millis(0);
+  sim.Run(Millis(8000));
+  EXPECT_NE(agent->LocalOwner(), nullptr);
+  EXPECT_EQ(agent->OwnerTerm(), 1);
+}
+
 }  // namespace
 }  // namespace basilusher
