Log answers that are cut off, views that fall behind, and calls between nodes

Callers got 503 from nodes that had no configuration in force, and the log did not tell why: store-calls-failed counts a call as lost whether the store was silent or nine tenths of its answer had come, and calls between nodes were not counted.

Lines about submissions that were not accepted have a budget: a burst wrote 20,000 a second.

--- a/include/basilusher/Node/CatalogKeeper.h
+++ b/include/basilusher/Node/CatalogKeeper.h
@@ -59,6 +59,8 @@
   /// The newest configuration if it is known to be in force or no node can
   /// know better; else null.
   std::shared_ptr<const Catalog> InForce() const;
+  /// The newest version that this node has, or that a peer said it has.
+  std::int64_t HeardVersion() const;
   /// The store has answered lately.
   bool StoreFresh() const;
   /// All changes of the operators' keys that the store had acknowledged at this
@@ -103,6 +105,8 @@
   /// A fresh peer had no newer version at this time.
   TimePoint peer_fresh_at_{};
   bool store_was_fresh_ = false;
+  /// Newest version that a peer has told of.
+  std::int64_t peer_version_ = 0;
   /// When the store stopped being fresh.
   TimePoint store_lost_at_{};
 };
--- a/include/basilusher/Node/JobFront.h
+++ b/include/basilusher/Node/JobFront.h
@@ -15,6 +15,7 @@
 #include "basilusher/Node/JobLookup.h"
 #include "basilusher/Node/NodeAgent.h"
 #include "basilusher/Node/Peers.h"
+#include "basilusher/Support/LineBudget.h"
 
 namespace basilusher {
 
@@ -114,6 +115,7 @@
   /// Answers for callers that wait, by the caller's number.
   std::map<std::uint64_t, std::function<void()>> waiting_;
   std::uint64_t callers_ = 0;
+  LineBudget not_accepted_lines_;
   /// AnswerAll was called.
   bool closed_ = false;
 };
--- a/include/basilusher/Node/Peers.h
+++ b/include/basilusher/Node/Peers.h
@@ -13,6 +13,7 @@
 #include "basilusher/Jobs/Job.h"
 #include "basilusher/Net/HttpClient.h"
 #include "basilusher/Net/HttpServer.h"
+#include "basilusher/Support/Counters.h"
 #include "basilusher/Support/Json.h"
 
 namespace basilusher {
@@ -45,15 +46,21 @@
                     const Json& body, Millis timeout, PeerCallback done) = 0;
 };
 
-/// Calls peers over HTTP. Not thread-safe: I/O thread only.
+/// Calls peers over HTTP and counts their answers in
+/// `peer_calls_total{path,result}`. Not thread-safe: I/O thread only.
 class PeerClient : public PeerCaller {
  public:
-  explicit PeerClient(HttpClient* http) : http_(http) {}
+  /// Both must outlive this object; `counters` may be null.
+  PeerClient(HttpClient* http, Counters* counters)
+      : http_(http), counters_(counters) {}
   void Call(const std::string& address, const char* path, const Json& body,
             Millis timeout, PeerCallback done) override;
 
  private:
+  void Count(const char* path, const HttpAnswer& answer);
+
   HttpClient* http_;
+  Counters* counters_;
 };
 
 /// What a node answers to its peers, by path. Not thread-safe: I/O thread only.
--- a/include/basilusher/Store/StoreWatcher.h
+++ b/include/basilusher/Store/StoreWatcher.h
@@ -65,6 +65,8 @@
   void ProbeLater(Millis delay);
   void OnAnswered(TimePoint sent_at);
   void Report(const StoredItem& item);
+  /// Logs a view that has not been confirmed for long, and what it waits for.
+  void ReportAge();
   /// Reports each item, leaving the event loop to other events in between, and
   /// then runs `done`.
   void ReportInSlices(const SharedItems& items, std::function<void()> done);
@@ -80,6 +82,13 @@
   std::int64_t revision_ = 0;
   TimePoint fresh_at_{};
   TimePoint unbroken_since_{};
+  TimePoint begun_at_{};
+  /// When the latest call was sent; also the moment from which its answer is
+  /// handled.
+  TimePoint step_began_at_{};
+  const char* step_ = "none";
+  /// Failed calls since the view was confirmed last.
+  int failed_calls_ = 0;
   /// Calls of earlier rounds that are answered late are passed over.
   std::int64_t round_ = 0;
   /// Calls under way in this round.
--- a/lib/Net/HttpClient.cc
+++ b/lib/Net/HttpClient.cc
@@ -14,6 +14,7 @@
 #include "IoLoopImpl.h"
 #include "ResponseHead.h"
 #include "basilusher/Support/Error.h"
+#include "basilusher/Support/LineBudget.h"
 #include "basilusher/Support/Log.h"
 
 namespace basilusher {
@@ -24,6 +25,14 @@
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 
+/// Lines a second about answers that were cut off.
+constexpr int kMaxCutOffLines = 10;
+
+Millis Since(std::chrono::steady_clock::time_point begin) {
+  return std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now() -
+                                            begin);
+}
+
 /// True if the peer has closed the idle connection or sent bytes unasked.
 bool IsStale(Tcp::socket* socket) {
   char byte = 0;
@@ -84,6 +93,7 @@
   /// Connections and waiting calls keep a pointer to their pool; one that has
   /// either is not erased.
   std::unordered_map<std::string, Pool> pools;
+  LineBudget cut_off_lines{kMaxCutOffLines};
   bool closed = false;
 };
 
@@ -113,6 +123,7 @@
     bytes_read_ = 0;
     reads_ = 0;
     reads_at_deadline_ = 0;
+    body_bytes_ = 0;
     timed_out_ = false;
     WriteHead(job.call, address_, &request_head_);
     request_body_ = std::move(job.call.body);
@@ -238,6 +249,7 @@
     status_ = head->status;
     keep_alive_ = head->keep_alive;
     body_left_ = head->content_length;
+    body_bytes_ = head->content_length;
     TakeBody();
   }
 
@@ -337,9 +349,32 @@
               {"timed_out", timed_out}});
   }
 
+  /// A part of the answer came: the other side works, and the way from it, or
+  /// the time that the call had, did not suffice.
+  void LogIfCutOff(const HttpAnswer& answer) {
+    if (answer.outcome == CallOutcome::kAnswered || bytes_read_ == 0) return;
+    LineBudget& lines = shared_->cut_off_lines;
+    if (!lines.Take(std::chrono::time_point_cast<Millis>(
+            std::chrono::steady_clock::now()))) {
+      return;
+    }
+    LogEvent(
+        LogLevel::kWarning, "answer-cut-off",
+        {{"address", address_},
+         {"target", target_},
+         {"bytes", bytes_read_},
+         {"body_bytes", body_bytes_},
+         {"took_ms", Since(called_at_).count()},
+         {"waited_ms",
+          std::chrono::duration_cast<Millis>(begun_at_ - called_at_).count()},
+         {"timed_out", timed_out_},
+         {"omitted", lines.TakeOmitted()}});
+  }
+
   void Finish(HttpAnswer answer, bool reusable, bool timed_out) {
     const std::shared_ptr<Connection> self = shared_from_this();
     LogIfOverdue(answer, timed_out);
+    LogIfCutOff(answer);
     in_call_ = false;
     parser_.reset();
     request_body_ = std::string();
@@ -434,6 +469,8 @@
   /// Of an answer with a usual head; others are in `parser_`.
   int status_ = 0;
   bool keep_alive_ = false;
+  /// Length of the whole body; zero until its head has been read.
+  std::size_t body_bytes_ = 0;
   std::size_t body_left_ = 0;
   std::string body_;
   std::optional<http::response_parser<http::string_body>> parser_;
--- a/lib/Node/CatalogKeeper.cc
+++ b/lib/Node/CatalogKeeper.cc
@@ -96,6 +96,10 @@
   listener_.on_catalog(catalog_);
 }
 
+std::int64_t CatalogKeeper::HeardVersion() const {
+  return std::max(peer_version_, catalog_ == nullptr ? 0 : catalog_->version);
+}
+
 bool CatalogKeeper::StoreFresh() const {
   return watcher_->Loaded() && clock_->Now() - watcher_->FreshAt() < kFreshFor;
 }
@@ -181,6 +185,7 @@
   const bool fresh = FieldOr(status, "fresh", false);
   reports_[node] = {.heard_at = asked_at, .fresh = fresh, .address = address};
   const std::int64_t version = FieldOr(status, "version", std::int64_t{0});
+  peer_version_ = std::max(peer_version_, version);
   const std::int64_t known = catalog_ == nullptr ? 0 : catalog_->version;
   if (version > known) {
     Fetch(address);
--- a/lib/Node/JobFront.cc
+++ b/lib/Node/JobFront.cc
@@ -14,6 +14,8 @@
 constexpr Millis kPeerTimeout{900};
 /// A store that only refuses is tried this often before the caller is told.
 constexpr int kMaxRefusals = 3;
+/// Lines a second about submissions that were not accepted.
+constexpr int kMaxNotAcceptedLines = 20;
 
 }  // namespace
 
@@ -49,7 +51,8 @@
           ports_.peers, ports_.timers, ports_.clock, agent_,
           options.cancel_bound)),
       lookup_(std::make_shared<JobLookup>(ports_, options.lookups, keys_,
-                                          agent_, catalogs_)) {}
+                                          agent_, catalogs_)),
+      not_accepted_lines_(kMaxNotAcceptedLines) {}
 
 std::string JobFront::NextPeer() {
   std::vector<std::string> peers = catalogs_->PeersWithStore();
@@ -110,13 +113,20 @@
 
 void JobFront::LogNotAccepted(const Submission& submission,
                               SubmitResult result) {
+  if (ports_.counters != nullptr) {
+    ports_.counters->Add("submissions_not_accepted_total{result=\"" +
+                         std::string(NameOf(kSubmitResultNames, result)) +
+                         "\"}");
+  }
+  if (!not_accepted_lines_.Take(ports_.clock->Now())) return;
   LogEvent(LogLevel::kWarning, "submission-not-accepted",
            {{"job", submission.id},
             {"result", NameOf(kSubmitResultNames, result)},
             {"store", NameOf(kStoreReachNames, catalogs_->Reach())},
             {"refusals", submission.refusals},
             {"stopping", submission.given_up || closed_},
-            {"left_ms", (submission.deadline - ports_.clock->Now()).count()}});
+            {"left_ms", (submission.deadline - ports_.clock->Now()).count()},
+            {"omitted", not_accepted_lines_.TakeOmitted()}});
 }
 
 void JobFront::Finish(const std::shared_ptr<Submission>& submission,
--- a/lib/Node/Peers.cc
+++ b/lib/Node/Peers.cc
@@ -20,6 +20,18 @@
 
 }  // namespace
 
+void PeerClient::Count(const char* path, const HttpAnswer& answer) {
+  if (counters_ == nullptr) return;
+  const char* result = "answered";
+  if (answer.outcome != CallOutcome::kAnswered) {
+    result = answer.outcome == CallOutcome::kNotSent ? "not-sent" : "lost";
+  } else if (answer.status != kStatusOk) {
+    result = "refused";
+  }
+  counters_->Add("peer_calls_total{path=\"" + std::string(path) +
+                 "\",result=\"" + result + "\"}");
+}
+
 void PeerClient::Call(const std::string& address, const char* path,
                       const Json& body, Millis timeout, PeerCallback done) {
   http_->Call(address,
@@ -28,7 +40,8 @@
                .headers = {},
                .body = body.dump(),
                .timeout = timeout},
-              [done = std::move(done)](const HttpAnswer& answer) {
+              [this, path, done = std::move(done)](const HttpAnswer& answer) {
+                Count(path, answer);
                 if (answer.outcome != CallOutcome::kAnswered ||
                     answer.status != kStatusOk) {
                   done(std::nullopt);
--- a/lib/Store/StoreWatcher.cc
+++ b/lib/Store/StoreWatcher.cc
@@ -18,6 +18,10 @@
 constexpr Millis kFirstProbeDelay{50};
 /// Unanswered calls at a time: each may take up to its timeout.
 constexpr int kMaxProbes = 4;
+/// A view that is older than this is reported: one lost call and a quiet watch
+/// make it about 2 s old.
+constexpr Millis kBehind{2500};
+constexpr Millis kReportPeriod{1000};
 
 }  // namespace
 
@@ -30,7 +34,29 @@
       options_(std::move(options)),
       listener_(std::move(listener)) {}
 
-void StoreWatcher::Begin() { Continue(); }
+void StoreWatcher::Begin() {
+  begun_at_ = clock_->Now();
+  ReportAge();
+  Continue();
+}
+
+void StoreWatcher::ReportAge() {
+  const TimePoint now = clock_->Now();
+  const Millis age = now - std::max(fresh_at_, begun_at_);
+  if (age >= kBehind) {
+    LogEvent(LogLevel::kWarning, "view-behind",
+             {{"prefix", options_.prefix},
+              {"age_ms", age.count()},
+              {"loaded", loaded_},
+              {"step", step_},
+              {"step_ms", (now - step_began_at_).count()},
+              {"calls", in_flight_},
+              {"failed_calls", failed_calls_}});
+  }
+  timers_->After(kReportPeriod, [self = shared_from_this()] {
+    if (!self->closed_) self->ReportAge();
+  });
+}
 
 void StoreWatcher::Continue() {
   ++round_;
@@ -46,6 +72,7 @@
 void StoreWatcher::OnFailure(std::int64_t round) {
   if (round != round_) return;
   --in_flight_;
+  ++failed_calls_;
   const bool first = !recovering_;
   recovering_ = true;
   ProbeLater(first ? kFirstProbeDelay : kProbePeriod);
@@ -72,6 +99,7 @@
 void StoreWatcher::OnAnswered(TimePoint sent_at) {
   if (recovering_ || !loaded_) unbroken_since_ = sent_at;
   fresh_at_ = sent_at;
+  failed_calls_ = 0;
 }
 
 void StoreWatcher::Report(const StoredItem& item) {
@@ -98,6 +126,8 @@
 
 void StoreWatcher::List(std::int64_t round) {
   const TimePoint sent_at = clock_->Now();
+  step_ = "list";
+  step_began_at_ = sent_at;
   store_->List(options_.prefix, [self = shared_from_this(), sent_at,
                                  round](const StoreAnswer& answer) {
     if (self->closed_ || round != self->round_) return;
@@ -138,6 +168,8 @@
   // Answers to other calls of this round are passed over from now on.
   ++round_;
   probes_paused_ = true;
+  step_ = "handling";
+  step_began_at_ = clock_->Now();
   RunInSlices(
       timers_, clock_, items->size(),
       [self = shared_from_this(), items](std::size_t i) {
@@ -153,6 +185,8 @@
 
 void StoreWatcher::Watch(std::int64_t round, Millis wait) {
   const TimePoint sent_at = clock_->Now();
+  step_ = "watch";
+  step_began_at_ = sent_at;
   store_->Watch(
       options_.prefix, revision_, wait,
       [self = shared_from_this(), sent_at, round](const StoreAnswer& answer) {
