--- a/include/basilusher/Net/HttpClient.h
+++ b/include/basilusher/Net/HttpClient.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,17 @@
   kLost,
 };
 
+/// Time limits of an answer that has begun before its call's timeout.
+struct LongAnswer {
+  /// Longest time without a further byte.
+  Millis stall_timeout{1000};
+  /// From the call to the last byte of its answer.
+  Millis max_duration{15000};
+  /// Runs each time that a part of the answer has come and more is due; must
+  /// not call the client. May be empty.
+  std::function<void()> on_progress;
+};
+
 struct HttpCall {
   std::string method;
   std::string target;
@@ -30,6 +42,10 @@
   /// From the call until its whole answer has come, connecting included. Bytes
   /// that have come are read to the end, however slow the event loop is.
   Millis timeout{1000};
+  /// For answers whose length is not known to be small; nothing if `timeout`
+  /// bounds the whole call. On a slow link, a call that ends at a fixed time
+  /// fails each time that it is repeated.
+  std::optional<LongAnswer> long_answer;
 };
 
 struct HttpAnswer {
--- a/lib/Net/HttpClient.cc
+++ b/lib/Net/HttpClient.cc
@@ -128,6 +128,7 @@
     WriteHead(job.call, address_, &request_head_);
     request_body_ = std::move(job.call.body);
     target_ = std::move(job.call.target);
+    long_answer_ = std::move(job.call.long_answer);
     in_call_ = true;
     ArmDeadline();
     if (connected) return Write();
@@ -189,6 +190,16 @@
     Close();
   }
 
+  /// A part of the answer has come. Extends the deadline of a long one.
+  void OnProgress() {
+    if (!long_answer_) return;
+    deadline_ = std::max(
+        deadline_,
+        std::min(std::chrono::steady_clock::now() + long_answer_->stall_timeout,
+                 called_at_ + long_answer_->max_duration));
+    if (long_answer_->on_progress) long_answer_->on_progress();
+  }
+
   void Write() {
     const std::size_t size = request_head_.size() + request_body_.size();
     const std::array<asio::const_buffer, 2> parts = {
@@ -268,6 +279,7 @@
                      .body = std::move(body_)},
                     keep, false);
     }
+    OnProgress();
     read_size_ = std::min(read_size_ * 2, kLargestRead);
     socket_.async_read_some(
         buffer_.prepare(read_size_),
@@ -316,6 +328,7 @@
       return Finish({.outcome = CallOutcome::kLost}, false, timed_out_);
     }
     if (!parser_->is_done()) {
+      OnProgress();
       read_size_ = std::min(read_size_ * 2, kLargestRead);
       return ReadSome();
     }
@@ -379,6 +392,7 @@
     parser_.reset();
     request_body_ = std::string();
     body_ = std::string();
+    long_answer_.reset();
     const HttpCallback done = std::move(done_);
     done_ = nullptr;
     Shared::Pool& pool = *pool_;
@@ -466,6 +480,7 @@
   std::string request_head_;
   std::string request_body_;
   std::string target_;
+  std::optional<LongAnswer> long_answer_;
   /// Of an answer with a usual head; others are in `parser_`.
   int status_ = 0;
   bool keep_alive_ = false;
--- a/unittests/Net/HttpClientTest.cc
+++ b/unittests/Net/HttpClientTest.cc
@@ -1,6 +1,7 @@
 // Calls over loopback, on a loop that the test turns one handler at a time.
 #include <gtest/gtest.h>
 
+#include <boost/asio/write.hpp>
 #include <chrono>
 #include <optional>
 #include <string>
@@ -119,5 +120,91 @@
   EXPECT_EQ(answer_->outcome, CallOutcome::kAnswered);
 }
 
+/// Sends the parts of one answer, one each `period`.
+class SlowServer {
+ public:
+  SlowServer(IoLoop* loop, const std::string& address, int parts, Millis period)
+      : loop_(loop),
+        acceptor_(loop->Get()->context, ParseEndpoint(address)),
+        socket_(loop->Get()->context),
+        parts_(parts),
+        period_(period) {
+    acceptor_.async_accept(socket_, [this](boost::system::error_code) {
+      Send("HTTP/1.1 200 OK\r\nContent-Length: " +
+           std::to_string(kPartBytes * parts_) + "\r\n\r\n");
+      SendParts();
+    });
+  }
+
+  static constexpr int kPartBytes = 100;
+
+ private:
+  void Send(const std::string& bytes) {
+    boost::system::error_code ec;
+    boost::asio::write(socket_, boost::asio::buffer(bytes), ec);
+  }
+
+  void SendParts() {
+    if (parts_-- == 0) return;
+    loop_->After(period_, [this] {
+      Send(std::string(kPartBytes, 'x'));
+      SendParts();
+    });
+  }
+
+  IoLoop* loop_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::socket socket_;
+  int parts_;
+  Millis period_;
+};
+
+class LongAnswerTest : public testing::Test {
+ protected:
+  /// Reads an answer whose parts come each `period`. The call has 200 ms.
+  HttpAnswer Call(int parts, Millis period, std::optional<LongAnswer> limits) {
+    const std::string address = FreeAddress(&loop_);
+    SlowServer server(&loop_, address, parts, period);
+    HttpClient client(&loop_, {});
+    std::optional<HttpAnswer> answer;
+    client.Call(address,
+                {.method = "GET",
+                 .target = "/",
+                 .timeout = Millis(200),
+                 .long_answer = std::move(limits)},
+                [&answer](const HttpAnswer& it) { answer = it; });
+    while (!answer) loop_.Get()->context.run_one();
+    return *answer;
+  }
+
+  IoLoop loop_;
+};
+
+/// Guards against an answer that can never be read, since it takes longer to
+/// arrive than a call may last.
+TEST_F(LongAnswerTest, AnAnswerThatKeepsArrivingOutlastsTheTimeout) {
+  int progress = 0;
+  const HttpAnswer answer =
+      Call(20, Millis(30),
+           LongAnswer{.stall_timeout = Millis(2000),
+                      .on_progress = [&progress] { ++progress; }});
+  EXPECT_EQ(answer.outcome, CallOutcome::kAnswered);
+  EXPECT_EQ(answer.body.size(), 20U * SlowServer::kPartBytes);
+  EXPECT_GT(progress, 0);
+}
+
+TEST_F(LongAnswerTest, AnAnswerThatStopsArrivingEndsTheCall) {
+  const HttpAnswer answer =
+      Call(1, Millis(600000), LongAnswer{.stall_timeout = Millis(100)});
+  EXPECT_EQ(answer.outcome, CallOutcome::kLost);
+}
+
+TEST_F(LongAnswerTest, AnAnswerThatTakesTooLongEndsTheCall) {
+  const HttpAnswer answer = Call(
+      600000, Millis(30),
+      LongAnswer{.stall_timeout = Millis(2000), .max_duration = Millis(400)});
+  EXPECT_EQ(answer.outcome, CallOutcome::kLost);
+}
+
 }  // namespace
 }  // namespace basilusher
