Send no further read while an answer of the same view is arriving

A view whose call had failed had up to four reads under way, each with the whole configuration on the same link: 1.16 MB a second arrived at each of 25 nodes for 50 s, and none of 3,624 lists ended. The link's queue delayed the small calls too, so that peers' status was not heard within 300 ms.

The store tells the watcher that a part of an answer has come; probes pause until that call ends. A view that is old when its answer has arrived is confirmed by a watch that does not wait. An owner that loads over a slow link counts what arrives as progress, so that it does not hand over after 6 s while its records come.

--- a/include/basilusher/Store/MeasuredStore.h
+++ b/include/basilusher/Store/MeasuredStore.h
@@ -37,9 +37,11 @@
                 TimerService* timers, Counters* counters);
 
   void Get(const std::string& key, StoreAnswerCallback done) override;
-  void List(const std::string& prefix, StoreAnswerCallback done) override;
+  void List(const std::string& prefix, StoreAnswerCallback done,
+            StoreProgressCallback on_progress) override;
   void Watch(const std::string& prefix, std::int64_t revision, Millis wait,
-             StoreAnswerCallback done) override;
+             StoreAnswerCallback done,
+             StoreProgressCallback on_progress) override;
   void Commit(const Txn& txn, StoreAnswerCallback done) override;
   void GrantLease(Millis ttl, StoreAnswerCallback done) override;
   void KeepLease(std::int64_t lease, StoreAnswerCallback done) override;
--- a/include/basilusher/Store/StoreWatcher.h
+++ b/include/basilusher/Store/StoreWatcher.h
@@ -27,7 +27,9 @@
 /// Lists a prefix, then watches it; after lost history it lists again and
 /// reports only what differs. While the store does not answer, several short
 /// calls are under way at a time, so that its return is noticed within a
-/// fraction of a call's timeout. Not thread-safe: I/O thread only.
+/// fraction of a call's timeout. While an answer is arriving, no further call
+/// is sent: on a slow link each would take its share from the others. Not
+/// thread-safe: I/O thread only.
 class StoreWatcher : public std::enable_shared_from_this<StoreWatcher> {
  public:
   struct Listener {
@@ -36,6 +38,8 @@
     std::function<void(const StoredItem&)> on_item;
     /// The first list is complete.
     std::function<void()> on_loaded;
+    /// A part of a long answer has come. May be empty.
+    std::function<void()> on_progress;
   };
 
   StoreWatcher(TransactionalStore* store, TimerService* timers,
@@ -46,6 +50,8 @@
   /// No callback runs after this.
   void Close() { closed_ = true; }
   bool Loaded() const { return loaded_; }
+  /// A part of an answer has come, and the call has not ended.
+  bool Receiving() const { return receiving_ > 0; }
   /// All changes that the store had acknowledged at this time are known; zero
   /// before the first list.
   TimePoint FreshAt() const { return fresh_at_; }
@@ -56,12 +62,23 @@
  private:
   using SharedItems = std::shared_ptr<const std::vector<StoredItem>>;
 
-  /// One call to the store; `round` tells late answers from current ones.
-  void List(std::int64_t round);
-  void Watch(std::int64_t round, Millis wait);
+  /// One call to the store. Calls of earlier rounds that are answered late are
+  /// passed over.
+  struct Call {
+    std::int64_t round = 0;
+    TimePoint sent_at{};
+    bool receiving = false;
+  };
+  using SharedCall = std::shared_ptr<Call>;
+
+  SharedCall BeginCall(const char* step);
+  void List();
+  void Watch(Millis wait);
   /// The next regular call, once no other is under way.
   void Continue();
-  void OnFailure(std::int64_t round);
+  /// A part of the call's answer has come.
+  void OnProgress(Call* call);
+  void OnFailure(const Call& call);
   void ProbeLater(Millis delay);
   void OnAnswered(TimePoint sent_at);
   void Report(const StoredItem& item);
@@ -89,10 +106,10 @@
   const char* step_ = "none";
   /// Failed calls since the view was confirmed last.
   int failed_calls_ = 0;
-  /// Calls of earlier rounds that are answered late are passed over.
   std::int64_t round_ = 0;
-  /// Calls under way in this round.
+  /// Calls under way in this round, and those whose answer is arriving.
   int in_flight_ = 0;
+  int receiving_ = 0;
   bool recovering_ = false;
   bool probe_planned_ = false;
   /// An answer is being reported: nothing further is asked meanwhile.
--- a/include/basilusher/Store/TransactionalStore.h
+++ b/include/basilusher/Store/TransactionalStore.h
@@ -58,6 +58,10 @@
 
 using StoreAnswerCallback = std::function<void(const StoreAnswer&)>;
 
+/// Runs each time that a part of a long answer has come and more is due. Must
+/// not call the store. May be empty.
+using StoreProgressCallback = std::function<void()>;
+
 struct TxnCondition {
   std::string key;
   /// Revision that the key must have; zero: it must be absent.
@@ -89,10 +93,12 @@
   /// Reads all keys that begin with `prefix`. The pages are no snapshot;
   /// `revision` is the one before the first page, from which a watch misses
   /// nothing.
-  virtual void List(const std::string& prefix, StoreAnswerCallback done) = 0;
+  virtual void List(const std::string& prefix, StoreAnswerCallback done,
+                    StoreProgressCallback on_progress) = 0;
   /// Waits up to `wait` for changes under `prefix` after `revision`.
   virtual void Watch(const std::string& prefix, std::int64_t revision,
-                     Millis wait, StoreAnswerCallback done) = 0;
+                     Millis wait, StoreAnswerCallback done,
+                     StoreProgressCallback on_progress) = 0;
   virtual void Commit(const Txn& txn, StoreAnswerCallback done) = 0;
   /// Makes a lease; its number is in `revision`.
   virtual void GrantLease(Millis ttl, StoreAnswerCallback done) = 0;
--- a/lib/Partition/OwnerCancellations.cc
+++ b/lib/Partition/OwnerCancellations.cc
@@ -39,15 +39,18 @@
   cancellations_asked_at_ = now;
   Count("cancellation_lists_total");
   const std::string& prefix = options_.keys.cancel_prefix;
-  deps_.store->List(prefix, [self = shared_from_this(),
-                             skip = prefix.size()](const StoreAnswer& answer) {
-    self->listing_cancellations_ = false;
-    if (self->closed_) return;
-    if (answer.status != TxnStatus::kOk) return;
-    for (const StoredItem& item : answer.items) {
-      self->CancelJob(item.key.substr(skip));
-    }
-  });
+  deps_.store->List(
+      prefix,
+      [self = shared_from_this(),
+       skip = prefix.size()](const StoreAnswer& answer) {
+        self->listing_cancellations_ = false;
+        if (self->closed_) return;
+        if (answer.status != TxnStatus::kOk) return;
+        for (const StoredItem& item : answer.items) {
+          self->CancelJob(item.key.substr(skip));
+        }
+      },
+      nullptr);
 }
 
 }  // namespace basilusher
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -158,7 +158,8 @@
                           .gather = kDirectoryGather},
       StoreWatcher::Listener{
           .on_item = [this](const StoredItem& item) { OnDirectory(item); },
-          .on_loaded = [this] { OnLoaded(); }});
+          .on_loaded = [this] { OnLoaded(); },
+          .on_progress = [this] { NoteLoadingProgress(); }});
   directory_->Begin();
   inbox_ = std::make_shared<StoreWatcher>(
       deps_.store, deps_.timers, deps_.clock,
@@ -167,48 +168,52 @@
                           .gather = kInboxGather},
       StoreWatcher::Listener{
           .on_item = [this](const StoredItem& item) { OnInbox(item); },
-          .on_loaded = [this] { OnLoaded(); }});
+          .on_loaded = [this] { OnLoaded(); },
+          .on_progress = [this] { NoteLoadingProgress(); }});
   Tick();
   FleetTick();
 }
 
 void PartitionOwner::LoadProgress() {
-  deps_.store->List(options_.keys.progress_prefix,
-                    [self = shared_from_this()](const StoreAnswer& answer) {
-                      if (self->closed_) return;
-                      self->LogLoading("progress", answer);
-                      if (answer.status != TxnStatus::kOk) {
-                        self->deps_.timers->After(kLoadRetryDelay, [self] {
-                          if (!self->closed_) self->LoadProgress();
-                        });
-                        return;
-                      }
-                      const std::size_t skip =
-                          self->options_.keys.progress_prefix.size();
-                      for (const StoredItem& item : answer.items) {
-                        self->loaded_progress_[item.key.substr(skip)] = item;
-                      }
-                      self->progress_loaded_ = true;
-                      self->NoteLoadingProgress();
-                      // Jobs are read after their progress, so a job whose
-                      // progress is not listed has none.
-                      self->inbox_->Begin();
-                    });
+  deps_.store->List(
+      options_.keys.progress_prefix,
+      [self = shared_from_this()](const StoreAnswer& answer) {
+        if (self->closed_) return;
+        self->LogLoading("progress", answer);
+        if (answer.status != TxnStatus::kOk) {
+          self->deps_.timers->After(kLoadRetryDelay, [self] {
+            if (!self->closed_) self->LoadProgress();
+          });
+          return;
+        }
+        const std::size_t skip = self->options_.keys.progress_prefix.size();
+        for (const StoredItem& item : answer.items) {
+          self->loaded_progress_[item.key.substr(skip)] = item;
+        }
+        self->progress_loaded_ = true;
+        self->NoteLoadingProgress();
+        // Jobs are read after their progress, so a job whose
+        // progress is not listed has none.
+        self->inbox_->Begin();
+      },
+      [self = shared_from_this()] { self->NoteLoadingProgress(); });
 }
 
 void PartitionOwner::LoadFinals() {
-  deps_.store->List(options_.keys.final_prefix,
-                    [self = shared_from_this()](const StoreAnswer& answer) {
-                      if (self->closed_) return;
-                      self->LogLoading("finals", answer);
-                      if (answer.status != TxnStatus::kOk) {
-                        self->deps_.timers->After(kLoadRetryDelay, [self] {
-                          if (!self->closed_) self->LoadFinals();
-                        });
-                        return;
-                      }
-                      self->ReadFinals(answer.items);
-                    });
+  deps_.store->List(
+      options_.keys.final_prefix,
+      [self = shared_from_this()](const StoreAnswer& answer) {
+        if (self->closed_) return;
+        self->LogLoading("finals", answer);
+        if (answer.status != TxnStatus::kOk) {
+          self->deps_.timers->After(kLoadRetryDelay, [self] {
+            if (!self->closed_) self->LoadFinals();
+          });
+          return;
+        }
+        self->ReadFinals(answer.items);
+      },
+      [self = shared_from_this()] { self->NoteLoadingProgress(); });
 }
 
 void PartitionOwner::ReadFinals(const std::vector<StoredItem>& items) {
--- a/lib/Store/MeasuredStore.cc
+++ b/lib/Store/MeasuredStore.cc
@@ -26,14 +26,18 @@
   store_->Get(key, Measure(StoreCall::kGet, std::move(done)));
 }
 
-void MeasuredStore::List(const std::string& prefix, StoreAnswerCallback done) {
-  store_->List(prefix, Measure(StoreCall::kList, std::move(done)));
+void MeasuredStore::List(const std::string& prefix, StoreAnswerCallback done,
+                         StoreProgressCallback on_progress) {
+  store_->List(prefix, Measure(StoreCall::kList, std::move(done)),
+               std::move(on_progress));
 }
 
 void MeasuredStore::Watch(const std::string& prefix, std::int64_t revision,
-                          Millis wait, StoreAnswerCallback done) {
+                          Millis wait, StoreAnswerCallback done,
+                          StoreProgressCallback on_progress) {
   store_->Watch(prefix, revision, wait,
-                Measure(StoreCall::kWatch, std::move(done)));
+                Measure(StoreCall::kWatch, std::move(done)),
+                std::move(on_progress));
 }
 
 void MeasuredStore::Commit(const Txn& txn, StoreAnswerCallback done) {
--- a/lib/Store/StoreWatcher.cc
+++ b/lib/Store/StoreWatcher.cc
@@ -22,6 +22,9 @@
 /// make it about 2 s old.
 constexpr Millis kBehind{2500};
 constexpr Millis kReportPeriod{1000};
+/// A view that is older than a quiet watch leaves it by this is confirmed by a
+/// watch that does not wait.
+constexpr Millis kConfirmAfter{300};
 
 }  // namespace
 
@@ -61,17 +64,32 @@
 void StoreWatcher::Continue() {
   ++round_;
   in_flight_ = 1;
+  receiving_ = 0;
   recovering_ = false;
-  if (must_list_) {
-    List(round_);
-  } else {
-    Watch(round_, options_.wait);
-  }
+  if (must_list_) return List();
+  // After an answer that took long, or was handled for long.
+  const bool late = clock_->Now() - fresh_at_ > options_.wait + kConfirmAfter;
+  Watch(late ? Millis(0) : options_.wait);
+}
+
+StoreWatcher::SharedCall StoreWatcher::BeginCall(const char* step) {
+  step_ = step;
+  step_began_at_ = clock_->Now();
+  return std::make_shared<Call>(
+      Call{.round = round_, .sent_at = step_began_at_});
 }
 
-void StoreWatcher::OnFailure(std::int64_t round) {
-  if (round != round_) return;
+void StoreWatcher::OnProgress(Call* call) {
+  if (closed_ || call->round != round_) return;
+  if (!call->receiving) ++receiving_;
+  call->receiving = true;
+  if (listener_.on_progress) listener_.on_progress();
+}
+
+void StoreWatcher::OnFailure(const Call& call) {
+  if (call.round != round_) return;
   --in_flight_;
+  if (call.receiving) --receiving_;
   ++failed_calls_;
   const bool first = !recovering_;
   recovering_ = true;
@@ -84,12 +102,13 @@
   timers_->After(delay, [self = shared_from_this()] {
     self->probe_planned_ = false;
     if (self->closed_ || !self->recovering_) return;
-    if (!self->probes_paused_ && self->in_flight_ < kMaxProbes) {
+    if (!self->probes_paused_ && !self->Receiving() &&
+        self->in_flight_ < kMaxProbes) {
       ++self->in_flight_;
       if (self->must_list_) {
-        self->List(self->round_);
+        self->List();
       } else {
-        self->Watch(self->round_, Millis(0));
+        self->Watch(Millis(0));
       }
     }
     self->ProbeLater(kProbePeriod);
@@ -124,29 +143,29 @@
   }
 }
 
-void StoreWatcher::List(std::int64_t round) {
-  const TimePoint sent_at = clock_->Now();
-  step_ = "list";
-  step_began_at_ = sent_at;
-  store_->List(options_.prefix, [self = shared_from_this(), sent_at,
-                                 round](const StoreAnswer& answer) {
-    if (self->closed_ || round != self->round_) return;
-    if (answer.status != TxnStatus::kOk) return self->OnFailure(round);
-    self->must_list_ = false;
-    self->revision_ = answer.revision;
-    const SharedItems items =
-        std::make_shared<const std::vector<StoredItem>>(answer.items);
-    self->ReportInSlices(items, [self, sent_at, items] {
-      self->ReportGone(*items);
-      if (self->closed_) return;
-      self->OnAnswered(sent_at);
-      if (!self->loaded_) {
-        self->loaded_ = true;
-        if (self->listener_.on_loaded) self->listener_.on_loaded();
-      }
-      if (!self->closed_) self->Continue();
-    });
-  });
+void StoreWatcher::List() {
+  const SharedCall call = BeginCall("list");
+  store_->List(
+      options_.prefix,
+      [self = shared_from_this(), call](const StoreAnswer& answer) {
+        if (self->closed_ || call->round != self->round_) return;
+        if (answer.status != TxnStatus::kOk) return self->OnFailure(*call);
+        self->must_list_ = false;
+        self->revision_ = answer.revision;
+        const SharedItems items =
+            std::make_shared<const std::vector<StoredItem>>(answer.items);
+        self->ReportInSlices(items, [self, call, items] {
+          self->ReportGone(*items);
+          if (self->closed_) return;
+          self->OnAnswered(call->sent_at);
+          if (!self->loaded_) {
+            self->loaded_ = true;
+            if (self->listener_.on_loaded) self->listener_.on_loaded();
+          }
+          if (!self->closed_) self->Continue();
+        });
+      },
+      [self = shared_from_this(), call] { self->OnProgress(call.get()); });
 }
 
 void StoreWatcher::ReportGone(const std::vector<StoredItem>& listed) {
@@ -167,6 +186,7 @@
                                   std::function<void()> done) {
   // Answers to other calls of this round are passed over from now on.
   ++round_;
+  receiving_ = 0;
   probes_paused_ = true;
   step_ = "handling";
   step_began_at_ = clock_->Now();
@@ -183,30 +203,27 @@
       });
 }
 
-void StoreWatcher::Watch(std::int64_t round, Millis wait) {
-  const TimePoint sent_at = clock_->Now();
-  step_ = "watch";
-  step_began_at_ = sent_at;
+void StoreWatcher::Watch(Millis wait) {
+  const SharedCall call = BeginCall("watch");
   store_->Watch(
       options_.prefix, revision_, wait,
-      [self = shared_from_this(), sent_at, round](const StoreAnswer& answer) {
-        if (self->closed_ || round != self->round_) return;
+      [self = shared_from_this(), call](const StoreAnswer& answer) {
+        if (self->closed_ || call->round != self->round_) return;
         if (answer.status == TxnStatus::kCompacted) {
           self->must_list_ = true;
           return self->Continue();
         }
-        if (answer.status != TxnStatus::kOk) {
-          return self->OnFailure(round);
-        }
+        if (answer.status != TxnStatus::kOk) return self->OnFailure(*call);
         self->revision_ = std::max(self->revision_, answer.revision);
         const SharedItems items =
             std::make_shared<const std::vector<StoredItem>>(answer.items);
-        self->ReportInSlices(items, [self, sent_at] {
+        self->ReportInSlices(items, [self, call] {
           if (self->closed_) return;
-          self->OnAnswered(sent_at);
+          self->OnAnswered(call->sent_at);
           self->Continue();
         });
-      });
+      },
+      [self = shared_from_this(), call] { self->OnProgress(call.get()); });
 }
 
 }  // namespace basilusher
--- a/unittests/Cost/OwnerWireCost.cc
+++ b/unittests/Cost/OwnerWireCost.cc
@@ -226,8 +226,9 @@
     });
   } else if (part == "watch") {
     RunCalls(loop, count, [&](std::function<void()> done) {
-      store.Watch("jobs/inbox/", 9000, Millis(0),
-                  [done = std::move(done)](const StoreAnswer&) { done(); });
+      store.Watch(
+          "jobs/inbox/", 9000, Millis(0),
+          [done = std::move(done)](const StoreAnswer&) { done(); }, nullptr);
     });
   } else if (part == "instances") {
     RunCalls(loop, count, [&](std::function<void()> done) {
--- a/unittests/Node/EvacuationKeysTest.cc
+++ b/unittests/Node/EvacuationKeysTest.cc
@@ -22,11 +22,14 @@
   explicit OldListStore(SimTimers* timers)
       : SimStore(timers), timers_(timers) {}
   void Keep(const std::string& prefix) {
-    SimStore::List(prefix,
-                   [this](const StoreAnswer& answer) { old_ = answer; });
+    SimStore::List(
+        prefix, [this](const StoreAnswer& answer) { old_ = answer; }, nullptr);
   }
-  void List(const std::string& prefix, StoreAnswerCallback done) override {
-    if (old_lists == 0) return SimStore::List(prefix, std::move(done));
+  void List(const std::string& prefix, StoreAnswerCallback done,
+            StoreProgressCallback on_progress) override {
+    if (old_lists == 0) {
+      return SimStore::List(prefix, std::move(done), std::move(on_progress));
+    }
     --old_lists;
     timers_->After(Millis(4), [this, done] { done(old_); });
   }
--- a/unittests/Node/HandOverTest.cc
+++ b/unittests/Node/HandOverTest.cc
@@ -17,21 +17,26 @@
  public:
   BehindPath(TransactionalStore* store, SimTimers* timers)
       : SimStorePath(store, timers), timers_(timers) {}
-  void List(const std::string& prefix, StoreAnswerCallback done) override {
+  void List(const std::string& prefix, StoreAnswerCallback done,
+            StoreProgressCallback on_progress) override {
     if (!lists_lost || !prefix.starts_with(RecordKeys().inbox_prefix)) {
-      return SimStorePath::List(prefix, std::move(done));
+      return SimStorePath::List(prefix, std::move(done),
+                                std::move(on_progress));
     }
     timers_->After(kCallTimeout,
                    [done] { done({.status = TxnStatus::kLost}); });
   }
   void Watch(const std::string& prefix, std::int64_t revision, Millis wait,
-             StoreAnswerCallback done) override {
+             StoreAnswerCallback done,
+             StoreProgressCallback on_progress) override {
     const Millis delay =
         prefix.starts_with(RecordKeys().inbox_prefix) ? inbox_delay : Millis(0);
     SimStorePath::Watch(
-        prefix, revision, wait, [this, done, delay](const StoreAnswer& answer) {
+        prefix, revision, wait,
+        [this, done, delay](const StoreAnswer& answer) {
           timers_->After(delay, [done, answer] { done(answer); });
-        });
+        },
+        std::move(on_progress));
   }
 
   Millis inbox_delay{0};
--- a/unittests/Node/SimNode.cc
+++ b/unittests/Node/SimNode.cc
@@ -44,17 +44,23 @@
   if (!Fails(done, kStoreTimeout)) store_->Get(key, std::move(done));
 }
 
-void SimStorePath::List(const std::string& prefix, StoreAnswerCallback done) {
-  if (!Fails(done, kStoreTimeout)) store_->List(prefix, std::move(done));
+void SimStorePath::List(const std::string& prefix, StoreAnswerCallback done,
+                        StoreProgressCallback on_progress) {
+  if (Fails(done, kStoreTimeout)) return;
+  store_->List(prefix, std::move(done), std::move(on_progress));
 }
 
 void SimStorePath::Watch(const std::string& prefix, std::int64_t revision,
-                         Millis wait, StoreAnswerCallback done) {
+                         Millis wait, StoreAnswerCallback done,
+                         StoreProgressCallback on_progress) {
   if (Fails(done, wait + kStoreTimeout)) return;
   // An answer that comes after the path was cut is lost.
-  store_->Watch(prefix, revision, wait, [this, done](const StoreAnswer& a) {
-    if (!Fails(done, kStoreTimeout)) done(a);
-  });
+  store_->Watch(
+      prefix, revision, wait,
+      [this, done](const StoreAnswer& a) {
+        if (!Fails(done, kStoreTimeout)) done(a);
+      },
+      std::move(on_progress));
 }
 
 void SimStorePath::Commit(const Txn& txn, StoreAnswerCallback done) {
--- a/unittests/Node/StaleOwnerTest.cc
+++ b/unittests/Node/StaleOwnerTest.cc
@@ -19,11 +19,14 @@
   SlowWatchPath(TransactionalStore* store, SimTimers* timers)
       : SimStorePath(store, timers), timers_(timers) {}
   void Watch(const std::string& prefix, std::int64_t revision, Millis wait,
-             StoreAnswerCallback done) override {
+             StoreAnswerCallback done,
+             StoreProgressCallback on_progress) override {
     SimStorePath::Watch(
-        prefix, revision, wait, [this, done](const StoreAnswer& answer) {
+        prefix, revision, wait,
+        [this, done](const StoreAnswer& answer) {
           timers_->After(delay, [done, answer] { done(answer); });
-        });
+        },
+        std::move(on_progress));
   }
 
   Millis delay{0};
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -64,9 +64,11 @@
   explicit SimStore(SimTimers* timers) : timers_(timers) {}
 
   void Get(const std::string& key, StoreAnswerCallback done) override;
-  void List(const std::string& prefix, StoreAnswerCallback done) override;
+  void List(const std::string& prefix, StoreAnswerCallback done,
+            StoreProgressCallback on_progress) override;
   void Watch(const std::string& prefix, std::int64_t revision, Millis wait,
-             StoreAnswerCallback done) override;
+             StoreAnswerCallback done,
+             StoreProgressCallback on_progress) override;
   void Commit(const Txn& txn, StoreAnswerCallback done) override;
   void GrantLease(Millis ttl, StoreAnswerCallback done) override;
   void KeepLease(std::int64_t lease, StoreAnswerCallback done) override;
@@ -119,9 +121,11 @@
       : timers_(timers), store_(store) {}
 
   void Get(const std::string& key, StoreAnswerCallback done) override;
-  void List(const std::string& prefix, StoreAnswerCallback done) override;
+  void List(const std::string& prefix, StoreAnswerCallback done,
+            StoreProgressCallback on_progress) override;
   void Watch(const std::string& prefix, std::int64_t revision, Millis wait,
-             StoreAnswerCallback done) override;
+             StoreAnswerCallback done,
+             StoreProgressCallback on_progress) override;
   void Commit(const Txn& txn, StoreAnswerCallback done) override;
   void GrantLease(Millis ttl, StoreAnswerCallback done) override;
   void KeepLease(std::int64_t lease, StoreAnswerCallback done) override;
--- a/unittests/Partition/SimStore.cc
+++ b/unittests/Partition/SimStore.cc
@@ -62,7 +62,8 @@
       {.status = TxnStatus::kOk, .items = {it->second}, .revision = revision_});
 }
 
-void SimStore::List(const std::string& prefix, StoreAnswerCallback done) {
+void SimStore::List(const std::string& prefix, StoreAnswerCallback done,
+                    StoreProgressCallback) {
   ++lists[prefix];
   if (InjectFault(done, false)) return;
   StoreAnswer answer{.status = TxnStatus::kOk, .revision = revision_};
@@ -73,7 +74,8 @@
 }
 
 void SimStore::Watch(const std::string& prefix, std::int64_t revision,
-                     Millis wait, StoreAnswerCallback done) {
+                     Millis wait, StoreAnswerCallback done,
+                     StoreProgressCallback) {
   if (InjectFault(done, false)) return;
   PollWatch(prefix, revision, timers_->Now() + wait, done);
 }
@@ -199,13 +201,16 @@
 void StoreConnection::Get(const std::string& key, StoreAnswerCallback done) {
   if (!FailIfCut(done)) store_->Get(key, Guard(done));
 }
-void StoreConnection::List(const std::string& prefix,
-                           StoreAnswerCallback done) {
-  if (!FailIfCut(done)) store_->List(prefix, Guard(done));
+void StoreConnection::List(const std::string& prefix, StoreAnswerCallback done,
+                           StoreProgressCallback on_progress) {
+  if (FailIfCut(done)) return;
+  store_->List(prefix, Guard(done), std::move(on_progress));
 }
 void StoreConnection::Watch(const std::string& prefix, std::int64_t revision,
-                            Millis wait, StoreAnswerCallback done) {
-  if (!FailIfCut(done)) store_->Watch(prefix, revision, wait, Guard(done));
+                            Millis wait, StoreAnswerCallback done,
+                            StoreProgressCallback on_progress) {
+  if (FailIfCut(done)) return;
+  store_->Watch(prefix, revision, wait, Guard(done), std::move(on_progress));
 }
 void StoreConnection::Commit(const Txn& txn, StoreAnswerCallback done) {
   if (!FailIfCut(done)) store_->Commit(txn, Guard(done));
--- a/unittests/Partition/StoreWatcherTest.cc
+++ b/unittests/Partition/StoreWatcherTest.cc
@@ -19,11 +19,12 @@
   explicit ScriptedStore(SimTimers* timers)
       : SimStore(timers), timers_(timers) {}
 
-  void List(const std::string&, StoreAnswerCallback done) override {
+  void List(const std::string&, StoreAnswerCallback done,
+            StoreProgressCallback) override {
     timers_->After(kLatency, [this, done] { done(list); });
   }
   void Watch(const std::string&, std::int64_t, Millis wait,
-             StoreAnswerCallback done) override {
+             StoreAnswerCallback done, StoreProgressCallback) override {
     const StoreAnswer answer = watch;
     watch.items.clear();
     timers_->After(answer.items.empty() ? wait : kLatency,
@@ -94,5 +95,99 @@
   EXPECT_THAT(reported, testing::ElementsAre("+w/a", "+w/c", "+w/b", "-w/c"));
 }
 
+/// A store over a slow link: a list takes `transfer_time` to arrive.
+class SlowLinkStore : public SimStore {
+ public:
+  explicit SlowLinkStore(SimTimers* timers)
+      : SimStore(timers), timers_(timers) {}
+
+  void List(const std::string&, StoreAnswerCallback done,
+            StoreProgressCallback on_progress) override {
+    if (silent) {
+      timers_->After(kCallTimeout,
+                     [done] { done({.status = TxnStatus::kLost}); });
+      return;
+    }
+    most_arriving = std::max(most_arriving, ++arriving_);
+    Arrive(timers_->Now() + transfer_time, done, on_progress);
+  }
+  void Watch(const std::string&, std::int64_t, Millis wait,
+             StoreAnswerCallback done, StoreProgressCallback) override {
+    waits.push_back(wait);
+    timers_->After(wait + kLatency,
+                   [done] { done({.status = TxnStatus::kOk}); });
+  }
+
+  bool silent = false;
+  Millis transfer_time{0};
+  /// Lists whose answers were on their way side by side.
+  int most_arriving = 0;
+  /// Of the watches so far.
+  std::vector<Millis> waits;
+
+ private:
+  static constexpr Millis kCallTimeout{800};
+  static constexpr Millis kProgressPeriod{10};
+
+  void Arrive(TimePoint at, const StoreAnswerCallback& done,
+              const StoreProgressCallback& on_progress) {
+    if (timers_->Now() >= at) {
+      --arriving_;
+      return done({.status = TxnStatus::kOk});
+    }
+    on_progress();
+    timers_->After(kProgressPeriod, [this, at, done, on_progress] {
+      Arrive(at, done, on_progress);
+    });
+  }
+
+  SimTimers* timers_;
+  int arriving_ = 0;
+};
+
+std::shared_ptr<StoreWatcher> BeginWatcher(SlowLinkStore* store,
+                                           SimTimers* timers) {
+  const std::shared_ptr<StoreWatcher> watcher = std::make_shared<StoreWatcher>(
+      store, timers, timers,
+      StoreWatcherOptions{.prefix = "w/", .wait = Millis(500)},
+      StoreWatcher::Listener{.on_item = [](const StoredItem&) {},
+                             .on_loaded = {},
+                             .on_progress = {}});
+  watcher->Begin();
+  return watcher;
+}
+
+/// Guards against several copies of a long answer that share a slow link when
+/// the store is back, so that none arrives in time.
+TEST(StoreWatcherTest, OneLongAnswerArrivesAtATime) {
+  SimTimers timers;
+  SlowLinkStore store(&timers);
+  store.silent = true;
+  store.transfer_time = Millis(3000);
+  const std::shared_ptr<StoreWatcher> watcher = BeginWatcher(&store, &timers);
+  timers.Run(Millis(2000));
+  store.silent = false;
+  timers.Run(Millis(3300));
+  EXPECT_TRUE(watcher->Loaded());
+  EXPECT_EQ(store.most_arriving, 1);
+  watcher->Close();
+}
+
+/// Guards against a view that was old when its answer had arrived and stays so
+/// for the whole wait of the next watch.
+TEST(StoreWatcherTest, ALateAnswerIsConfirmedAtOnce) {
+  SimTimers timers;
+  SlowLinkStore store(&timers);
+  store.transfer_time = Millis(2000);
+  const std::shared_ptr<StoreWatcher> watcher = BeginWatcher(&store, &timers);
+  timers.Run(Millis(2000) + 2 * kLatency);
+  EXPECT_LE(timers.Now() - watcher->FreshAt(), 2 * kLatency);
+  timers.Run(Millis(600));
+  watcher->Close();
+  ASSERT_GE(store.waits.size(), 2U);
+  EXPECT_EQ(store.waits[0], Millis(0));
+  EXPECT_EQ(store.waits[1], Millis(500));
+}
+
 }  // namespace
 }  // namespace basilusher
--- a/unittests/Platform/OddAnswerTest.cc
+++ b/unittests/Platform/OddAnswerTest.cc
@@ -62,7 +62,8 @@
   Answer(kStatusOk, Json({{"items", rows}, {"CurrentRev", 9}}).dump());
   StoreClient store(&http, address);
   std::optional<StoreAnswer> listed;
-  store.List("", [&](const StoreAnswer& answer) { listed = answer; });
+  store.List(
+      "", [&](const StoreAnswer& answer) { listed = answer; }, nullptr);
   const StoreAnswer answer = Await(&listed);
   EXPECT_EQ(answer.status, TxnStatus::kOk);
   ASSERT_EQ(answer.items.size(), 1U);
@@ -77,7 +78,8 @@
   Answer(kStatusOk, Json({{"items", {Item("c")}}, {"CurrentRev", 9}}).dump());
   StoreClient store(&http, address);
   std::optional<StoreAnswer> listed;
-  store.List("", [&](const StoreAnswer& answer) { listed = answer; });
+  store.List(
+      "", [&](const StoreAnswer& answer) { listed = answer; }, nullptr);
   const StoreAnswer answer = Await(&listed);
   ASSERT_EQ(answer.items.size(), 1U);
   EXPECT_EQ(answer.items[0].key, "c");
