Fetch one copy of a configuration from a peer at a time

A node that heard of a newer configuration asked each peer that told of it for all of it, three every 200 ms, and gave each up after 300 ms: none can arrive over a link of 10 Mbit/s, and together they fill it.

One copy is fetched at a time, none while the store's is arriving, and its time-out bounds silence. A peer has 15 s to send it, where 3 s bounded the whole answer before. OneCopyOfAConfigurationIsFetchedAtATime guards it.

--- a/include/basilusher/Net/HttpServer.h
+++ b/include/basilusher/Net/HttpServer.h
@@ -52,9 +52,10 @@
   /// bytes at least.
   std::size_t max_header_fields = 4096;
   std::size_t max_body_bytes = std::size_t{256} * 1024;
-  /// Time to receive a whole head once its first byte has come, and to send a
-  /// whole answer to a reader that is slow.
+  /// Time to receive a whole head once its first byte has come.
   Millis read_timeout{3000};
+  /// Time to send a whole answer to a reader that is slow.
+  Millis write_timeout{3000};
   /// Time that a connection may rest between requests, and time to receive a
   /// whole body once its head is known.
   Millis idle_timeout{15000};
@@ -75,7 +76,8 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
-  /// Changes limits for requests that have not begun yet.
+  /// Changes limits for requests that have not begun yet; `read_timeout` is
+  /// also that of writes.
   void SetLimits(std::size_t max_header_bytes, std::size_t max_body_bytes,
                  Millis read_timeout, Millis idle_timeout);
   /// From now on each answer closes its connection.
--- a/include/basilusher/Node/CatalogKeeper.h
+++ b/include/basilusher/Node/CatalogKeeper.h
@@ -90,6 +90,8 @@
   void AskPeers();
   void OnPeerStatus(const std::string& node, const std::string& address,
                     TimePoint asked_at, const Json& status);
+  /// Takes the configuration from a peer, unless an answer with it is arriving:
+  /// a second copy would only take its share of a slow link.
   void Fetch(const std::string& address);
 
   TransactionalStore* store_;
@@ -105,6 +107,7 @@
   /// A fresh peer had no newer version at this time.
   TimePoint peer_fresh_at_{};
   bool store_was_fresh_ = false;
+  bool fetching_ = false;
   /// Newest version that a peer has told of.
   std::int64_t peer_version_ = 0;
   /// When the store stopped being fresh.
--- a/include/basilusher/Node/Peers.h
+++ b/include/basilusher/Node/Peers.h
@@ -44,6 +44,10 @@
   /// within `timeout`.
   virtual void Call(const std::string& address, const char* path,
                     const Json& body, Millis timeout, PeerCallback done) = 0;
+  /// The same for an answer that may be long: `timeout` bounds only the time
+  /// until it begins to come.
+  virtual void Fetch(const std::string& address, const char* path,
+                     const Json& body, Millis timeout, PeerCallback done) = 0;
 };
 
 /// Calls peers over HTTP and counts their answers in
@@ -55,8 +59,12 @@
       : http_(http), counters_(counters) {}
   void Call(const std::string& address, const char* path, const Json& body,
             Millis timeout, PeerCallback done) override;
+  void Fetch(const std::string& address, const char* path, const Json& body,
+             Millis timeout, PeerCallback done) override;
 
  private:
+  void Send(const std::string& address, const char* path, HttpCall call,
+            PeerCallback done);
   void Count(const char* path, const HttpAnswer& answer);
 
   HttpClient* http_;
--- a/lib/Net/HttpServer.cc
+++ b/lib/Net/HttpServer.cc
@@ -340,7 +340,7 @@
         use != ClientBudget::Use::kSmall) {
       return CloseFor(ClientLimit::kMemory);
     }
-    stream_.expires_after(shared_->options.read_timeout);
+    stream_.expires_after(shared_->options.write_timeout);
     http::async_write(
         stream_, *response_,
         [self = shared_from_this()](beast::error_code ec, std::size_t) {
@@ -462,6 +462,7 @@
   shared_->options.max_header_bytes = max_header_bytes;
   shared_->options.max_body_bytes = max_body_bytes;
   shared_->options.read_timeout = read_timeout;
+  shared_->options.write_timeout = read_timeout;
   shared_->options.idle_timeout = idle_timeout;
 }
 
--- a/lib/Node/CatalogKeeper.cc
+++ b/lib/Node/CatalogKeeper.cc
@@ -195,13 +195,16 @@
 }
 
 void CatalogKeeper::Fetch(const std::string& address) {
-  peers_->Call(address, PeerPaths::kCatalog, Json::object(), kPeerTimeout,
-               [self = shared_from_this()](std::optional<Json> answer) {
-                 if (answer) {
-                   self->Apply(FieldOr(*answer, "bytes", std::string()),
-                               "peer");
-                 }
-               });
+  if (fetching_ || watcher_->Receiving()) return;
+  fetching_ = true;
+  peers_->Fetch(address, PeerPaths::kCatalog, Json::object(), kPeerTimeout,
+                [self = shared_from_this()](std::optional<Json> answer) {
+                  self->fetching_ = false;
+                  if (answer) {
+                    self->Apply(FieldOr(*answer, "bytes", std::string()),
+                                "peer");
+                  }
+                });
 }
 
 }  // namespace basilusher
--- a/lib/Node/Peers.cc
+++ b/lib/Node/Peers.cc
@@ -8,6 +8,8 @@
 
 /// Largest body between nodes: a configuration with room to grow.
 constexpr std::size_t kMaxPeerBody = std::size_t{4} * 1024 * 1024;
+/// Time for such a body to arrive, at 2 Mbit/s and more.
+constexpr Millis kLongestAnswer{15000};
 constexpr int kStatusOk = 200;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
@@ -15,6 +17,7 @@
 
 HttpServerOptions WithPeerBody(HttpServerOptions options) {
   options.max_body_bytes = kMaxPeerBody;
+  options.write_timeout = kLongestAnswer;
   return options;
 }
 
@@ -34,12 +37,30 @@
 
 void PeerClient::Call(const std::string& address, const char* path,
                       const Json& body, Millis timeout, PeerCallback done) {
-  http_->Call(address,
-              {.method = "POST",
-               .target = path,
-               .headers = {},
-               .body = body.dump(),
-               .timeout = timeout},
+  Send(address, path,
+       {.method = "POST",
+        .target = path,
+        .headers = {},
+        .body = body.dump(),
+        .timeout = timeout},
+       std::move(done));
+}
+
+void PeerClient::Fetch(const std::string& address, const char* path,
+                       const Json& body, Millis timeout, PeerCallback done) {
+  Send(address, path,
+       {.method = "POST",
+        .target = path,
+        .headers = {},
+        .body = body.dump(),
+        .timeout = timeout,
+        .long_answer = LongAnswer{.max_duration = kLongestAnswer}},
+       std::move(done));
+}
+
+void PeerClient::Send(const std::string& address, const char* path,
+                      HttpCall call, PeerCallback done) {
+  http_->Call(address, std::move(call),
               [this, path, done = std::move(done)](const HttpAnswer& answer) {
                 Count(path, answer);
                 if (answer.outcome != CallOutcome::kAnswered ||
--- a/unittests/Node/CatalogKeeperTest.cc
+++ b/unittests/Node/CatalogKeeperTest.cc
@@ -24,5 +24,27 @@
   }
 }
 
+/// Guards against a node on a slow link that asks for the same configuration
+/// again while it is arriving, so that no copy ever arrives whole.
+TEST(CatalogKeeperTest, OneCopyOfAConfigurationIsFetchedAtATime) {
+  FleetSim sim;
+  SimPeers peers(&sim.timers);
+  SimNode a(&sim, &peers, "a");
+  SimNode b(&sim, &peers, "b");
+  SimNode c(&sim, &peers, "c");
+  sim.store.Put(sim.formats.ConfigKey(), "1");
+  sim.Run(Millis(2000));
+  a.store.silent = true;
+  sim.Run(Millis(1500));
+  peers.transfer_time = Millis(4000);
+  sim.store.Put(sim.formats.ConfigKey(), "2");
+  sim.Run(Millis(3500));
+  ASSERT_EQ(a.catalogs->HeardVersion(), 2);
+  EXPECT_EQ(peers.calls[PeerPaths::kCatalog], 1);
+  sim.Run(Millis(1500));
+  ASSERT_NE(a.catalogs->Newest(), nullptr);
+  EXPECT_EQ(a.catalogs->Newest()->version, 2);
+}
+
 }  // namespace
 }  // namespace basilusher
--- a/unittests/Node/SimNode.cc
+++ b/unittests/Node/SimNode.cc
@@ -34,6 +34,14 @@
   });
 }
 
+void SimPeers::Fetch(const std::string& address, const char* path,
+                     const Json& body, Millis timeout, PeerCallback done) {
+  Call(address, path, body, timeout,
+       [this, done = std::move(done)](std::optional<Json> answer) {
+         timers_->After(transfer_time, [done, answer] { done(answer); });
+       });
+}
+
 bool SimStorePath::Fails(const StoreAnswerCallback& done, Millis timeout) {
   if (!silent) return false;
   timers_->After(timeout, [done] { done({.status = TxnStatus::kLost}); });
@@ -124,6 +132,9 @@
   methods.On(PeerPaths::kStatus, [this](const Json&, PeerCallback done) {
     done(catalogs->Status());
   });
+  methods.On(PeerPaths::kCatalog, [this](const Json&, PeerCallback done) {
+    done(catalogs->Export());
+  });
   methods.On(PeerPaths::kEndTerm, [this](const Json& body, PeerCallback done) {
     done(agent->AnswerEndTerm(body));
   });
--- a/unittests/Node/SimNode.h
+++ b/unittests/Node/SimNode.h
@@ -20,6 +20,8 @@
   explicit SimPeers(SimTimers* timers) : timers_(timers) {}
   void Call(const std::string& address, const char* path, const Json& body,
             Millis timeout, PeerCallback done) override;
+  void Fetch(const std::string& address, const char* path, const Json& body,
+             Millis timeout, PeerCallback done) override;
   void Attach(const std::string& address, const PeerMethods* methods) {
     nodes_[address] = methods;
   }
@@ -29,6 +31,8 @@
 
   /// Calls so far, by path.
   std::map<std::string, int> calls;
+  /// How long the answer to Fetch() takes to arrive.
+  Millis transfer_time{0};
   /// How many of the next calls are lost, by path.
   std::map<std::string, int> lose_next;
 
--- a/unittests/Partition/FleetSim.cc
+++ b/unittests/Partition/FleetSim.cc
@@ -1,6 +1,7 @@
 // The simulation as a whole, and the formats of its directory.
 #include "FleetSim.h"
 
+#include <charconv>
 #include <cstdlib>
 #include <iostream>
 
@@ -32,8 +33,10 @@
 }
 
 std::shared_ptr<const Catalog> SimFormats::DecodeCatalog(
-    const std::string&) const {
-  return std::make_shared<Catalog>();
+    const std::string& bytes) const {
+  const std::shared_ptr<Catalog> catalog = std::make_shared<Catalog>();
+  std::from_chars(bytes.data(), bytes.data() + bytes.size(), catalog->version);
+  return catalog;
 }
 
 std::optional<WorkerEntry> SimFormats::DecodeWorker(
--- a/unittests/Partition/FleetSim.h
+++ b/unittests/Partition/FleetSim.h
@@ -418,6 +418,7 @@
   std::string OperatorPrefix() const override { return "config/"; }
   std::string WorkerPrefix() const override { return "workers/"; }
   std::string WaveStatusKey(std::int64_t wave) const override;
+  /// A configuration whose version the bytes give in digits.
   std::shared_ptr<const Catalog> DecodeCatalog(
       const std::string& bytes) const override;
   std::optional<WorkerEntry> DecodeWorker(
--- a/unittests/Platform/ClientErrorTest.cc
+++ b/unittests/Platform/ClientErrorTest.cc
@@ -16,6 +16,10 @@
             PeerCallback done) override {
     done(std::nullopt);
   }
+  void Fetch(const std::string&, const char*, const Json&, Millis,
+             PeerCallback done) override {
+    done(std::nullopt);
+  }
 };
 
 /// A node's interface for clients, with one open queue.
