--- a/test/slow_link_test.py
+++ b/test/slow_link_test.py
@@ -24,6 +24,9 @@
 LARGEST_VALUE = 1 << 20
 GIVE_UP_S = 60
 UNKNOWN_JOB = "00000000000000a1"
+# Jobs whose records fill several pages of a list, each of a megabyte and more.
+JOBS = 1200
+JOB_TEXT = "x" * 2500
 
 
 class Meter:
@@ -104,10 +107,10 @@
         self.link.listener.close()
         self.folder.cleanup()
 
-    def status_of(self, target):
+    def status_of(self, target, method="GET", body=None):
         caller = http.client.HTTPConnection(self.front, timeout=5)
         try:
-            caller.request("GET", target, None,
+            caller.request(method, target, body,
                            {"Host": HOST, "Authorization": f"Bearer {KEY}",
                             "X-Deadline-Ms": "3000"})
             return caller.getresponse().status
@@ -153,6 +156,22 @@
                              410)
         self.run_node(check)
 
+    def test_an_owner_loads_pages_that_take_longer_than_a_call(self):
+        self.platform.store.write(
+            "op/config", configuration(1, [route("first", "/first/")]))
+        body = json.dumps({"Spec": JOB_TEXT, "Steps": [
+            {"Count": 1, "Cpu": 100, "MemMb": 1, "EstimateMs": 100}]})
+
+        def submit():
+            self.assertEqual(self.await_status("/first/", 200), 200)
+            for n in range(JOBS):
+                self.assertEqual(
+                    self.status_of(f"/first/{n:016x}", "POST", body), 200)
+        self.run_node(submit)
+        # Only the owner counts jobs, once it has loaded their records.
+        self.run_node(lambda: self.assertEqual(
+            self.await_status("/first/", 200), 200))
+
 
 if __name__ == "__main__":
     unittest.main()
