Ask for every accepted job at the end of a soak play

The soak looked at jobs until they ended and asked for none afterwards, so that an accepted job without an answer was seen only by chance. All nodes are now killed at once at the end, and each job that nobody cancelled has to be told of by some node within 14 s.

--- a/test/soak/clients.py
+++ b/test/soak/clients.py
@@ -251,3 +251,24 @@
             time.sleep(0.3)
         for connection in connections:
             connection.close()
+
+    def unanswered(self, limit_s):
+        """Asks for every job that was accepted and not cancelled, at one node
+        after the other; returns those of which no node told a state within
+        `limit_s`, with the last statuses."""
+        connections = self.connections()
+        until = time.monotonic() + limit_s
+        left = {job.id: [] for job in self.jobs.values()
+                if job.accepted_at is not None and job.cancel_sent_at is None}
+        turn = 0
+        while left and time.monotonic() < until:
+            for name in list(left):
+                turn += 1
+                status, body = connections[turn % len(connections)].call(
+                    "GET", PREFIX + name)
+                left[name] = (left[name] + [status])[-6:]
+                if status == 200 and "State" in body:
+                    del left[name]
+        for connection in connections:
+            connection.close()
+        return left
--- a/test/soak/play.py
+++ b/test/soak/play.py
@@ -5,6 +5,7 @@
 import os
 import re
 import shutil
+import signal
 import threading
 import time
 
@@ -27,6 +28,10 @@
 LASTING_JOBS = 6
 LATE_LASTING_JOBS = 2
 START_S = 4.0
+# Time in which every accepted job has to be told of after all nodes were killed
+# at once, and the time that they are away.
+ANSWER_S = 14.0
+AWAY_S = 1.0
 
 
 @dataclasses.dataclass
@@ -211,6 +216,22 @@
             others, [(back + ENTRY_RETURN_S, calm_at)]))}
 
 
+def ask_after_a_loss_of_power(deployment, clients):
+    """Kills all nodes at once. Violations for accepted jobs of which no node
+    tells a state afterwards, within the time that callers ask for it."""
+    for n in range(len(deployment.node_names)):
+        deployment.signal_node(n, signal.SIGKILL)
+    for name in deployment.node_names:
+        deployment.processes[name].wait()
+    time.sleep(AWAY_S)
+    for n in range(len(deployment.node_names)):
+        deployment.start_node(n)
+    left = clients.unanswered(ANSWER_S)
+    now = time.monotonic() - deployment.began
+    return [checks.Violation("LOST", now, f"no answer about {name}: {statuses}")
+            for name, statuses in left.items()]
+
+
 def play(options):
     """Plays one seed."""
     story_options = options.story and drawn(options.story, options.seed)
@@ -263,6 +284,7 @@
         violations, starts = judge(deployment, clients.jobs, troubles.kills,
                                    [(calm_at, calm_until)],
                                    evacuations.spans)
+        violations += ask_after_a_loss_of_power(deployment, clients)
         gaps = gaps_so_far(deployment, clients, troubles.kills)
         waits = Waits(checks.longest_gap(gaps, calm_at - deployment.began,
                                          calm_until - deployment.began))
