List again if the changes that a watch missed are too many to be read

Some versions of a large configuration in a row, or the changes of a burst, can make a watch's answer longer than the 8 MB that the client takes. The watch was repeated from the same revision, in vain, until the store had forgotten that history (20 s). It now counts as compacted, and the prefix is listed, which shows each key once and in pages.

The limit itself did not hold for an answer whose head came with its first bytes: 1,001 bytes were read with a limit of 1,000 in a trial. ChangesBeyondTheLimitOfAnAnswerAreToBeListed fails without either change.

--- a/include/basilusher/Net/HttpClient.h
+++ b/include/basilusher/Net/HttpClient.h
@@ -52,6 +52,8 @@
   CallOutcome outcome = CallOutcome::kNotSent;
   int status = 0;
   std::string body;
+  /// Its body is longer than the client takes; the outcome is kLost.
+  bool beyond_limits = false;
 };
 
 using HttpCallback = std::function<void(const HttpAnswer&)>;
--- a/include/basilusher/Store/TransactionalStore.h
+++ b/include/basilusher/Store/TransactionalStore.h
@@ -18,7 +18,7 @@
   kNotFound,
   /// A condition did not hold; nothing was written.
   kConflict,
-  /// The history asked for is no longer kept.
+  /// The history asked for is no longer kept, or too long to be read.
   kCompacted,
   /// The service said that it did nothing (overload, outage).
   kRefused,
--- a/lib/Net/HttpClient.cc
+++ b/lib/Net/HttpClient.cc
@@ -253,14 +253,16 @@
     const asio::const_buffer bytes = buffer_.data();
     const std::optional<ResponseHead> head =
         ReadUsualHead({static_cast<const char*>(bytes.data()), bytes.size()});
-    if (!head || head->content_length > shared_->options.max_body_bytes) {
-      return BeginParser();
+    if (!head) return BeginParser();
+    body_bytes_ = head->content_length;
+    if (body_bytes_ > shared_->options.max_body_bytes) {
+      return Finish({.outcome = CallOutcome::kLost, .beyond_limits = true},
+                    false, timed_out_);
     }
     buffer_.consume(head->bytes);
     status_ = head->status;
     keep_alive_ = head->keep_alive;
     body_left_ = head->content_length;
-    body_bytes_ = head->content_length;
     TakeBody();
   }
 
@@ -325,7 +327,9 @@
                {{"address", address_}, {"max_bytes", kMaxUnparsed}});
     }
     if (ec) {
-      return Finish({.outcome = CallOutcome::kLost}, false, timed_out_);
+      return Finish({.outcome = CallOutcome::kLost,
+                     .beyond_limits = ec == http::error::body_limit},
+                    false, timed_out_);
     }
     if (!parser_->is_done()) {
       OnProgress();
--- a/unittests/Platform/OddAnswerTest.cc
+++ b/unittests/Platform/OddAnswerTest.cc
@@ -54,6 +54,20 @@
   HttpClient http;
 };
 
+/// Guards against a watch that is repeated in vain, since the changes that it
+/// missed are more than the client takes.
+TEST_F(OddAnswerTest, ChangesBeyondTheLimitOfAnAnswerAreToBeListed) {
+  constexpr std::size_t kMaxBody = 1000;
+  HttpClient client(&loop, {.max_body_bytes = kMaxBody});
+  Answer(kStatusOk, std::string(kMaxBody + 1, ' '));
+  StoreClient store(&client, address);
+  std::optional<StoreAnswer> watched;
+  store.Watch(
+      "", 1, Millis(0), [&](const StoreAnswer& answer) { watched = answer; },
+      nullptr);
+  EXPECT_EQ(Await(&watched).status, TxnStatus::kCompacted);
+}
+
 TEST_F(OddAnswerTest, AnItemThatCannotBeReadDoesNotHideTheOthers) {
   Json rows = {Item("a"), Item("b"), Item("c"), 5, Json::array(), Item("d")};
   rows[0]["Value"] = "no base64!";
