--- a/unittests/Node/JobFrontTest.cc
+++ b/unittests/Node/JobFrontTest.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "../Support/LogCapture.h"
 #include "SimNode.h"
 
 namespace basilusher {
@@ -278,5 +279,22 @@
   EXPECT_TRUE(Stored());
 }
 
+/// Guards against a burst of submissions that fills the log: without a bound,
+/// 38 nodes wrote 20,000 lines a second.
+TEST_F(JobFrontTest, LinesAboutRefusedSubmissionsAreBounded) {
+  for (SimNode* node : {&a, &b, &c}) node->store.silent = true;
+  sim.Run(Millis(4000));
+  const LogCapture log;
+  for (int i = 0; i < kManyCalls; ++i) {
+    a.Submit(FleetSim::MakeJob(kJob, 2, 500), kDeadline);
+  }
+  sim.Run(Millis(1100));
+  EXPECT_EQ(log.Lines("submission-not-accepted").size(), 20U);
+  a.Submit(FleetSim::MakeJob(kJob, 2, 500), kDeadline);
+  sim.Run(Millis(10));
+  EXPECT_EQ(log.Lines("submission-not-accepted").back().at("omitted"),
+            kManyCalls - 20);
+}
+
 }  // namespace
 }  // namespace basilusher
--- a/unittests/Partition/StoreWatcherTest.cc
+++ b/unittests/Partition/StoreWatcherTest.cc
@@ -4,6 +4,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include "../Support/LogCapture.h"
 #include "FleetSim.h"
 #include "basilusher/Store/StoreWatcher.h"
 
@@ -114,8 +115,9 @@
   void Watch(const std::string&, std::int64_t, Millis wait,
              StoreAnswerCallback done, StoreProgressCallback) override {
     waits.push_back(wait);
-    timers_->After(wait + kLatency,
-                   [done] { done({.status = TxnStatus::kOk}); });
+    timers_->After(wait + kLatency, [this, done] {
+      done({.status = silent ? TxnStatus::kLost : TxnStatus::kOk});
+    });
   }
 
   bool silent = false;
@@ -189,5 +191,24 @@
   EXPECT_EQ(store.waits[1], Millis(500));
 }
 
+/// Guards against a view that only grows older while no line tells why.
+TEST(StoreWatcherTest, AViewThatFallsBehindIsReported) {
+  SimTimers timers;
+  SlowLinkStore store(&timers);
+  const std::shared_ptr<StoreWatcher> watcher = BeginWatcher(&store, &timers);
+  timers.Run(Millis(5000));
+  const LogCapture log;
+  timers.Run(Millis(5000));
+  EXPECT_TRUE(log.Lines("view-behind").empty());
+  store.silent = true;
+  timers.Run(Millis(6000));
+  watcher->Close();
+  const std::vector<Json> lines = log.Lines("view-behind");
+  ASSERT_FALSE(lines.empty());
+  EXPECT_EQ(lines.back().at("prefix"), "w/");
+  EXPECT_EQ(lines.back().at("step"), "watch");
+  EXPECT_GT(lines.back().at("failed_calls"), 0);
+}
+
 }  // namespace
 }  // namespace basilusher
