--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -369,6 +369,8 @@
   /// Reports an owner that does not come to read its records.
   void CheckLoading();
   void NoteLoadingProgress();
+  /// A part of a long list or watch has come.
+  void NoteAnswerPart();
   /// Time since the last answer that confirmed the term; zero while the term is
   /// confirmed.
   Millis StoreSilence() const;
@@ -634,6 +636,8 @@
   TimePoint stale_since_{};
   /// When a record was last read, or the store last did not confirm the term.
   TimePoint loading_progress_at_{};
+  /// When a part of a long answer of the store came last.
+  TimePoint answer_part_at_{};
   /// How long the records took to load.
   Millis load_time_{0};
   TimePoint list_asked_at_{};
--- a/lib/Partition/OwnerFreshness.cc
+++ b/lib/Partition/OwnerFreshness.cc
@@ -22,6 +22,11 @@
 /// time does not come to it. How long all of them take depends on their number:
 /// another node of the same strength would need as long.
 constexpr Millis kLoadLimit{6000};
+/// The same while a long answer of the store is arriving, whose records are
+/// read when it is whole. Bounds lists that fail and begin anew.
+constexpr Millis kArrivalLimit{30000};
+/// A long answer is arriving if a part of it came this recently.
+constexpr Millis kArrivalGap{1000};
 
 }  // namespace
 
@@ -29,11 +34,15 @@
   const TimePoint now = deps_.clock->Now();
   // A silent store keeps the records from every node.
   if (now >= listener_.confirmed_until()) loading_progress_at_ = now;
-  if (now - loading_progress_at_ >= kLoadLimit && listener_.on_behind) {
+  const Millis limit =
+      now - answer_part_at_ < kArrivalGap ? kArrivalLimit : kLoadLimit;
+  if (now - loading_progress_at_ >= limit && listener_.on_behind) {
     listener_.on_behind();
   }
 }
 
+void PartitionOwner::NoteAnswerPart() { answer_part_at_ = deps_.clock->Now(); }
+
 void PartitionOwner::NoteLoadingProgress() {
   if (!loaded_) loading_progress_at_ = deps_.clock->Now();
 }
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -159,7 +159,7 @@
       StoreWatcher::Listener{
           .on_item = [this](const StoredItem& item) { OnDirectory(item); },
           .on_loaded = [this] { OnLoaded(); },
-          .on_progress = [this] { NoteLoadingProgress(); }});
+          .on_progress = [this] { NoteAnswerPart(); }});
   directory_->Begin();
   inbox_ = std::make_shared<StoreWatcher>(
       deps_.store, deps_.timers, deps_.clock,
@@ -169,7 +169,7 @@
       StoreWatcher::Listener{
           .on_item = [this](const StoredItem& item) { OnInbox(item); },
           .on_loaded = [this] { OnLoaded(); },
-          .on_progress = [this] { NoteLoadingProgress(); }});
+          .on_progress = [this] { NoteAnswerPart(); }});
   Tick();
   FleetTick();
 }
@@ -196,7 +196,7 @@
         // progress is not listed has none.
         self->inbox_->Begin();
       },
-      [self = shared_from_this()] { self->NoteLoadingProgress(); });
+      [self = shared_from_this()] { self->NoteAnswerPart(); });
 }
 
 void PartitionOwner::LoadFinals() {
@@ -213,7 +213,7 @@
         }
         self->ReadFinals(answer.items);
       },
-      [self = shared_from_this()] { self->NoteLoadingProgress(); });
+      [self = shared_from_this()] { self->NoteAnswerPart(); });
 }
 
 void PartitionOwner::ReadFinals(const std::vector<StoredItem>& items) {
