List changes that take too long to arrive, and confirm only after long answers

Review: a watch that was cut off after 10 s and more was repeated from the same revision; ChangesThatNeverArriveWholeAreListed guards it. And with a store that needs 0.3 s an answer, every other watch did not wait, though no answer was long.

--- a/include/basilusher/Store/StoreWatcher.h
+++ b/include/basilusher/Store/StoreWatcher.h
@@ -80,7 +80,7 @@
   void OnProgress(Call* call);
   void OnFailure(const Call& call);
   void ProbeLater(Millis delay);
-  void OnAnswered(TimePoint sent_at);
+  void OnAnswered(const Call& call);
   void Report(const StoredItem& item);
   /// Logs a view that has not been confirmed for long, and what it waits for.
   void ReportAge();
@@ -111,6 +111,8 @@
   int in_flight_ = 0;
   int receiving_ = 0;
   bool recovering_ = false;
+  /// The answer that confirmed the view last came in parts.
+  bool long_answer_ = false;
   bool probe_planned_ = false;
   /// An answer is being reported: nothing further is asked meanwhile.
   bool probes_paused_ = false;
--- a/lib/Store/StoreWatcher.cc
+++ b/lib/Store/StoreWatcher.cc
@@ -22,9 +22,11 @@
 /// make it about 2 s old.
 constexpr Millis kBehind{2500};
 constexpr Millis kReportPeriod{1000};
-/// A view that is older than a quiet watch leaves it by this is confirmed by a
-/// watch that does not wait.
+/// A view whose long answer has left it older than a quiet watch would, by this
+/// time, is confirmed by a watch that does not wait.
 constexpr Millis kConfirmAfter{300};
+/// Changes that could not be read in this time are listed.
+constexpr Millis kLongestWatch{10000};
 
 }  // namespace
 
@@ -67,9 +69,8 @@
   receiving_ = 0;
   recovering_ = false;
   if (must_list_) return List();
-  // After an answer that took long, or was handled for long.
   const bool late = clock_->Now() - fresh_at_ > options_.wait + kConfirmAfter;
-  Watch(late ? Millis(0) : options_.wait);
+  Watch(long_answer_ && late ? Millis(0) : options_.wait);
 }
 
 StoreWatcher::SharedCall StoreWatcher::BeginCall(const char* step) {
@@ -90,6 +91,9 @@
   if (call.round != round_) return;
   --in_flight_;
   if (call.receiving) --receiving_;
+  if (call.receiving && clock_->Now() - call.sent_at >= kLongestWatch) {
+    must_list_ = true;
+  }
   ++failed_calls_;
   const bool first = !recovering_;
   recovering_ = true;
@@ -115,9 +119,10 @@
   });
 }
 
-void StoreWatcher::OnAnswered(TimePoint sent_at) {
-  if (recovering_ || !loaded_) unbroken_since_ = sent_at;
-  fresh_at_ = sent_at;
+void StoreWatcher::OnAnswered(const Call& call) {
+  if (recovering_ || !loaded_) unbroken_since_ = call.sent_at;
+  fresh_at_ = call.sent_at;
+  long_answer_ = call.receiving;
   failed_calls_ = 0;
 }
 
@@ -157,7 +162,7 @@
         self->ReportInSlices(items, [self, call, items] {
           self->ReportGone(*items);
           if (self->closed_) return;
-          self->OnAnswered(call->sent_at);
+          self->OnAnswered(*call);
           if (!self->loaded_) {
             self->loaded_ = true;
             if (self->listener_.on_loaded) self->listener_.on_loaded();
@@ -219,7 +224,7 @@
             std::make_shared<const std::vector<StoredItem>>(answer.items);
         self->ReportInSlices(items, [self, call] {
           if (self->closed_) return;
-          self->OnAnswered(call->sent_at);
+          self->OnAnswered(*call);
           self->Continue();
         });
       },
--- a/unittests/Partition/StoreWatcherTest.cc
+++ b/unittests/Partition/StoreWatcherTest.cc
@@ -109,12 +109,20 @@
                      [done] { done({.status = TxnStatus::kLost}); });
       return;
     }
+    ++list_calls;
     most_arriving = std::max(most_arriving, ++arriving_);
     Arrive(timers_->Now() + transfer_time, done, on_progress);
   }
   void Watch(const std::string&, std::int64_t, Millis wait,
-             StoreAnswerCallback done, StoreProgressCallback) override {
+             StoreAnswerCallback done,
+             StoreProgressCallback on_progress) override {
     waits.push_back(wait);
+    if (watches_end_after > Millis(0)) {
+      on_progress();
+      timers_->After(watches_end_after,
+                     [done] { done({.status = TxnStatus::kLost}); });
+      return;
+    }
     timers_->After(wait + kLatency, [this, done] {
       done({.status = silent ? TxnStatus::kLost : TxnStatus::kOk});
     });
@@ -126,6 +134,9 @@
   int most_arriving = 0;
   /// Of the watches so far.
   std::vector<Millis> waits;
+  int list_calls = 0;
+  /// Watches are cut off after this time if it is not zero.
+  Millis watches_end_after{0};
 
  private:
   static constexpr Millis kCallTimeout{800};
@@ -191,6 +202,20 @@
   EXPECT_EQ(store.waits[1], Millis(500));
 }
 
+/// Guards against a watch that is repeated in vain, since the changes that it
+/// missed take longer to arrive than a call may last.
+TEST(StoreWatcherTest, ChangesThatNeverArriveWholeAreListed) {
+  SimTimers timers;
+  SlowLinkStore store(&timers);
+  const std::shared_ptr<StoreWatcher> watcher = BeginWatcher(&store, &timers);
+  timers.Run(Millis(1000));
+  ASSERT_EQ(store.list_calls, 1);
+  store.watches_end_after = Millis(15000);
+  timers.Run(Millis(17000));
+  EXPECT_EQ(store.list_calls, 2);
+  watcher->Close();
+}
+
 /// Guards against a view that only grows older while no line tells why.
 TEST(StoreWatcherTest, AViewThatFallsBehindIsReported) {
   SimTimers timers;
