--- a/test/soak/clients.py
+++ b/test/soak/clients.py
@@ -272,3 +272,22 @@
         for connection in connections:
             connection.close()
         return left
+
+    def refusing_nodes(self, limit_s):
+        """Numbers of the nodes that do not tell the state of a job that has one
+        within `limit_s`, with the last status of each."""
+        names = [job.id for job in self.jobs.values()
+                 if job.accepted_at is not None and job.cancel_sent_at is None]
+        if not names:
+            return {}
+        left = dict(enumerate(self.connections()))
+        statuses = {}
+        until = time.monotonic() + limit_s
+        while left and time.monotonic() < until:
+            for n, connection in list(left.items()):
+                statuses[n], _ = connection.call("GET", PREFIX + names[-1])
+                if statuses[n] == 200:
+                    connection.close()
+                    del left[n]
+            time.sleep(0.1)
+        return {n: statuses[n] for n in left}
--- a/test/soak/play.py
+++ b/test/soak/play.py
@@ -218,7 +218,8 @@
 
 def ask_after_a_loss_of_power(deployment, clients):
     """Kills all nodes at once. Violations for accepted jobs of which no node
-    tells a state afterwards, within the time that callers ask for it."""
+    tells a state afterwards, within the time that callers ask for it, and for
+    nodes that tell none."""
     for n in range(len(deployment.node_names)):
         deployment.signal_node(n, signal.SIGKILL)
     for name in deployment.node_names:
@@ -227,9 +228,13 @@
     for n in range(len(deployment.node_names)):
         deployment.start_node(n)
     left = clients.unanswered(ANSWER_S)
+    refusing = clients.refusing_nodes(ANSWER_S)
     now = time.monotonic() - deployment.began
-    return [checks.Violation("LOST", now, f"no answer about {name}: {statuses}")
-            for name, statuses in left.items()]
+    return ([checks.Violation("LOST", now,
+                              f"no answer about {name}: {statuses}")
+             for name, statuses in left.items()]
+            + [checks.Violation("LOST", now, f"node {n} tells no state: {status}")
+               for n, status in refusing.items()])
 
 
 def play(options):
