--- a/include/basilusher/Node/CatalogKeeper.h
+++ b/include/basilusher/Node/CatalogKeeper.h
@@ -60,7 +60,7 @@
   /// know better; else null.
   std::shared_ptr<const Catalog> InForce() const;
   /// The newest version that this node has, or that a peer said it has.
-  std::int64_t HeardVersion() const;
+  std::int64_t NewestKnownVersion() const;
   /// The store has answered lately.
   bool StoreFresh() const;
   /// All changes of the operators' keys that the store had acknowledged at this
--- a/lib/Node/CatalogKeeper.cc
+++ b/lib/Node/CatalogKeeper.cc
@@ -96,7 +96,7 @@
   listener_.on_catalog(catalog_);
 }
 
-std::int64_t CatalogKeeper::HeardVersion() const {
+std::int64_t CatalogKeeper::NewestKnownVersion() const {
   return std::max(peer_version_, catalog_ == nullptr ? 0 : catalog_->version);
 }
 
--- a/lib/Node/Peers.cc
+++ b/lib/Node/Peers.cc
@@ -8,7 +8,8 @@
 
 /// Largest body between nodes: a configuration with room to grow.
 constexpr std::size_t kMaxPeerBody = std::size_t{4} * 1024 * 1024;
-/// Time for such a body to arrive, at 2 Mbit/s and more.
+/// Time to send or to receive a configuration; the largest needs 11 s on a link
+/// of 1 Mbit/s.
 constexpr Millis kLongestAnswer{15000};
 constexpr int kStatusOk = 200;
 constexpr int kStatusBadRequest = 400;
--- a/unittests/Net/HttpClientTest.cc
+++ b/unittests/Net/HttpClientTest.cc
@@ -194,8 +194,9 @@
 }
 
 TEST_F(LongAnswerTest, AnAnswerThatStopsArrivingEndsTheCall) {
-  const HttpAnswer answer =
-      Call(1, Millis(600000), LongAnswer{.stall_timeout = Millis(100)});
+  const HttpAnswer answer = Call(
+      1, Millis(600000),
+      LongAnswer{.stall_timeout = Millis(100), .max_duration = Millis(600000)});
   EXPECT_EQ(answer.outcome, CallOutcome::kLost);
 }
 
--- a/unittests/Node/CatalogKeeperTest.cc
+++ b/unittests/Node/CatalogKeeperTest.cc
@@ -39,7 +39,7 @@
   peers.transfer_time = Millis(4000);
   sim.store.Put(sim.formats.ConfigKey(), "2");
   sim.Run(Millis(3500));
-  ASSERT_EQ(a.catalogs->HeardVersion(), 2);
+  ASSERT_EQ(a.catalogs->NewestKnownVersion(), 2);
   EXPECT_EQ(peers.calls[PeerPaths::kCatalog], 1);
   sim.Run(Millis(1500));
   ASSERT_NE(a.catalogs->Newest(), nullptr);
