Ask the advisor no more than it answers in time

Cause: the advisor answers each machine's questions one at a time. The owner put up to 24, eight to a machine, and its time-out covered one answer and 1.5 s. From the eighth on they came too late; the advisor worked off what had been given up, and each such question was asked again after 150 ms, behind the others. The record shows waits that grow from 0 to 10.9 s, the same steps again and again, and 27 answers in time for the 27 jobs that ran. Ruled out by it: answers that are not used, an owner that stops asking, a slow hop.

Change: AdviceWindow, one for each machine that asks, allows two questions; the others wait at the owner, most urgent first, and those of steps that cannot start yet take only idle machines. Time-outs cover the line. A question without an answer reduces the window to one and lengthens pauses and time-outs until an answer comes; its time sets the next ones. The hop to a peer has 0.5 s more than the peer. The time-out no longer comes from the owner, so that calls from this machine have an interface of their own (AdvisorCaller).

AdviceRelayTest.APeerThatDoesNotAnswer... waits for 4 s in place of 1 s: its time-out now follows from the answer's time.

--- a/include/basilusher/Jobs/Interfaces.h
+++ b/include/basilusher/Jobs/Interfaces.h
@@ -249,11 +249,36 @@
   std::vector<std::pair<std::string, std::string>> allowed;
 };
 
+/// When the answer to a question is needed.
+enum class AdviceNeed : std::uint8_t {
+  kNow,
+  /// The step waits for others.
+  kLater,
+};
+
 /// Decides which workers may run a step. Not thread-safe: use on the I/O
 /// thread.
 class PlacementAdvisor {
  public:
   virtual ~PlacementAdvisor() = default;
+  /// True if a question would be answered in time. Otherwise it had better be
+  /// put later, when others have been answered.
+  virtual bool MayAsk(AdviceNeed) const { return true; }
+  /// `answer_time` is what the advisor takes for the answer by the queue's
+  /// policy, without the questions before this one. `done` runs once; without
+  /// an answer if none comes in a time that the implementation chooses.
+  virtual void Advise(const std::string& job, int occurrence, int step,
+                      const std::vector<std::string>& workers,
+                      Millis answer_time,
+                      std::function<void(const AdviceAnswer&)> done) = 0;
+};
+
+/// Calls the placement advisor from this machine. Not thread-safe: use on the
+/// I/O thread.
+class AdvisorCaller {
+ public:
+  virtual ~AdvisorCaller() = default;
+  /// `done` runs once, without an answer if none comes within `timeout`.
   virtual void Advise(const std::string& job, int occurrence, int step,
                       const std::vector<std::string>& workers, Millis timeout,
                       std::function<void(const AdviceAnswer&)> done) = 0;
--- a/include/basilusher/Partition/PartitionOwner.h
+++ b/include/basilusher/Partition/PartitionOwner.h
@@ -434,7 +434,7 @@
   static bool PredecessorsStarted(const JobRecord& job,
                                   const OccurrenceRecord& occurrence, int step);
   void AskAdvice(const JobRecord& job, int occurrence, int step,
-                 const std::vector<WorkerCapacity*>& workers);
+                 const std::vector<WorkerCapacity*>& workers, AdviceNeed need);
   void OnAdvice(const StepKey& key, const std::vector<std::string>& asked,
                 TimePoint valid_until, const AdviceAnswer& answer);
   /// Restricts `request` to workers with a valid ticket for the step.
@@ -565,7 +565,6 @@
   std::map<std::int64_t, HeldStart> held_starts_;
   std::int64_t last_held_start_ = 0;
   AdviceCache advice_;
-  int open_questions_ = 0;
   std::map<std::string, StoredItem> loaded_progress_;
   /// Cancellations that arrived before their jobs. Each is stored beside its
   /// job until the job becomes known and its final state is stored.
--- a/lib/Partition/OwnerAdvice.cc
+++ b/lib/Partition/OwnerAdvice.cc
@@ -8,12 +8,6 @@
 namespace basilusher {
 namespace {
 
-/// Limit on this owner's questions in flight, including those that AdviceRelay
-/// passes to other nodes. Below the advisor's own limit: it refuses a question
-/// that would wait behind 32 others.
-constexpr int kMaxQuestions = 24;
-/// Added to the time-out: network latency, and waiting behind other questions.
-constexpr Millis kAnswerSlack{1500};
 /// Under a policy without a validity period a ticket is valid for the life of
 /// its worker. It is requested again after this time all the same.
 constexpr Millis kUnlimitedTicket{600000};
@@ -36,10 +30,11 @@
 }
 
 void PartitionOwner::AskAdvice(const JobRecord& job, int occurrence, int step,
-                               const std::vector<WorkerCapacity*>& workers) {
+                               const std::vector<WorkerCapacity*>& workers,
+                               AdviceNeed need) {
   const QueueConfig* queue = QueueOf(job);
   if (queue == nullptr || deps_.advisor == nullptr ||
-      open_questions_ >= kMaxQuestions) {
+      !deps_.advisor->MayAsk(need)) {
     return;
   }
   const TimePoint now = deps_.clock->Now();
@@ -65,21 +60,18 @@
       advice_.WorkersToAsk(key, candidates, now);
   if (asked.empty()) return;
   advice_.RecordQuestion(key);
-  ++open_questions_;
   Count("advice_questions_total");
   const AdvicePolicy& policy = queue->advice;
-  const Millis timeout =
-      Millis(policy.decide_ms +
-             policy.per_worker_ms * static_cast<std::int64_t>(asked.size())) +
-      kAnswerSlack;
+  const Millis answer_time(policy.decide_ms +
+                           policy.per_worker_ms *
+                               static_cast<std::int64_t>(asked.size()));
   deps_.advisor->Advise(
-      key.job, occurrence, step, asked, timeout,
+      key.job, occurrence, step, asked, answer_time,
       [self = shared_from_this(), key, asked, now,
        valid = policy.valid_ms > 0
                    ? Millis(policy.valid_ms) - kTicketMargin
                    : kUnlimitedTicket](const AdviceAnswer& answer) {
         if (self->closed_) return;
-        --self->open_questions_;
         self->OnAdvice(key, asked, now + valid, answer);
       });
 }
--- a/lib/Partition/OwnerEvacuation.cc
+++ b/lib/Partition/OwnerEvacuation.cc
@@ -124,7 +124,8 @@
         !owner_->NeedsAdvice(*job) || !asked.insert(step).second) {
       continue;
     }
-    owner_->AskAdvice(*job, run.task.occurrence, run.task.step, others);
+    owner_->AskAdvice(*job, run.task.occurrence, run.task.step, others,
+                      AdviceNeed::kNow);
   }
 }
 
--- a/lib/Partition/OwnerPlacing.cc
+++ b/lib/Partition/OwnerPlacing.cc
@@ -43,7 +43,8 @@
       // An answer from the advisor takes time, so it is requested while the
       // preceding steps still run.
       if (NeedsAdvice(*job) && PredecessorsStarted(*job, occurrence, index)) {
-        AskAdvice(*job, candidate.occurrence, index, workers->Workers());
+        AskAdvice(*job, candidate.occurrence, index, workers->Workers(),
+                  AdviceNeed::kLater);
       }
       continue;
     }
@@ -114,7 +115,9 @@
     // The next tasks may start on any worker.
     if (worker == nullptr && request.only_worker) continue;
     if (worker == nullptr) {
-      if (needs_advice) AskAdvice(*job, occurrence, step, workers);
+      if (needs_advice) {
+        AskAdvice(*job, occurrence, step, workers, AdviceNeed::kNow);
+      }
       if (!AnyHasRoom(Charge(spec), workers)) full->Add(Charge(spec));
       return;
     }
@@ -173,7 +176,9 @@
                                         task);
     WorkerCapacity* worker = ChooseWorker(request, trial_workers);
     if (worker == nullptr) {
-      if (needs_advice) AskAdvice(*job, occurrence, step, workers);
+      if (needs_advice) {
+        AskAdvice(*job, occurrence, step, workers, AdviceNeed::kNow);
+      }
       return;
     }
     worker->used += Charge(spec);
--- a/lib/Partition/OwnerPools.cc
+++ b/lib/Partition/OwnerPools.cc
@@ -82,7 +82,9 @@
     if (CanPlace(request, worker->capacity)) return true;
     others.push_back(&worker->capacity);
   }
-  if (needs_advice) AskAdvice(job, id.occurrence, id.step, others);
+  if (needs_advice) {
+    AskAdvice(job, id.occurrence, id.step, others, AdviceNeed::kNow);
+  }
   return false;
 }
 
--- a/unittests/Node/AdviceRelayTest.cc
+++ b/unittests/Node/AdviceRelayTest.cc
@@ -8,7 +8,7 @@
 namespace {
 
 /// Serves one question at a time, as the advisor does for each machine.
-class SerialAdvisor : public PlacementAdvisor {
+class SerialAdvisor : public AdvisorCaller {
  public:
   explicit SerialAdvisor(SimTimers* timers) : timers_(timers) {}
   void Advise(const std::string&, int, int,
@@ -39,9 +39,9 @@
   const std::map<std::string, std::string> addresses = {{"b", "b:7000"}};
   const std::map<std::string, std::string> none;
   AdviceRelay asking(
-      &own, &peers, [&]() -> const auto& { return addresses; });
+      &own, &peers, &timers, [&]() -> const auto& { return addresses; });
   AdviceRelay helping(
-      &other, &peers, [&]() -> const auto& { return none; });
+      &other, &peers, &timers, [&]() -> const auto& { return none; });
   PeerMethods methods;
   helping.Serve(&methods);
   peers.Attach("b:7000", &methods);
@@ -66,7 +66,7 @@
   SerialAdvisor own(&timers);
   const std::map<std::string, std::string> addresses = {{"b", "b:7000"}};
   AdviceRelay asking(
-      &own, &peers, [&]() -> const auto& { return addresses; });
+      &own, &peers, &timers, [&]() -> const auto& { return addresses; });
   int failed = 0;
   for (int i = 0; i < 3; ++i) {
     asking.Advise("00000000000000a1", 0, i, {"w1"}, Millis(500),
@@ -74,7 +74,7 @@
                     if (!answer.answered) ++failed;
                   });
   }
-  timers.Run(Millis(1000));
+  timers.Run(Millis(4000));
   EXPECT_EQ(failed, 1);
 }
 
--- a/unittests/Node/OddControlRecordTest.cc
+++ b/unittests/Node/OddControlRecordTest.cc
@@ -25,7 +25,7 @@
   ASSERT_NE(a.agent->LocalOwner(), nullptr);
 }
 
-class SilentAdvisor : public PlacementAdvisor {
+class SilentAdvisor : public AdvisorCaller {
  public:
   void Advise(const std::string&, int, int, const std::vector<std::string>&,
               Millis, std::function<void(const AdviceAnswer&)>) override {}
@@ -94,7 +94,7 @@
   const std::map<std::string, std::string> nodes = {{"b", "b:7000"}};
   SilentAdvisor local;
   AdviceRelay relay(
-      &local, &peers, [&]() -> const auto& { return nodes; });
+      &local, &peers, &sim.timers, [&]() -> const auto& { return nodes; });
   relay.Advise(kJob, 0, 0, {"w"}, Millis(500), [](const AdviceAnswer&) {});
   // The local advisor is busy now.
   std::optional<AdviceAnswer> advice;
