Await late starts of a killed owner on workers that nobody reaches

Callers could see two runs of a task at once: an owner is killed while a start has no answer, its worker restarts behind a cut, and the new process executes the start after the next owner took its lease for over.

Cause: the next owner allowed for the longest delay of a call only if a changed start time showed it that the worker had restarted. Behind a cut nothing shows that.

--- a/lib/Partition/OwnerReconciliation.cc
+++ b/lib/Partition/OwnerReconciliation.cc
@@ -158,17 +158,11 @@
 }
 
 bool PartitionOwner::MayHoldEarlierLease(const std::string& id) const {
-  const auto it = workers_.find(id);
-  const std::int64_t born =
-      it == workers_.end() ? 0 : it->second->link->BornUnixMs();
-  const std::int64_t recorded_born =
-      it == workers_.end() ? 0 : it->second->recorded_born_unix_ms;
-  const bool restarted =
-      born != 0 && recorded_born != 0 && born != recorded_born;
   // An owner that is gone without a word cannot tell of a start on its way,
-  // which the worker's next incarnation may execute.
+  // which the worker's next incarnation may execute. Nothing need have shown
+  // that one.
   const bool untold = previous_told_leases_ && !*previous_told_leases_;
-  const Millis late = restarted && untold ? kMaxCallDelay : Millis(0);
+  const Millis late = untold ? kMaxCallDelay : Millis(0);
   return deps_.clock->Now() < earlier_leases_.EndOn(id) + late ||
          !TermIsConfirmed();
 }
