Visit the late starts of an added job only; ask for tickets of lasting tasks

Each added job went through all starts that may be executed late, which a take-over with many jobs would pay for. A lasting task that may only start on one worker was passed over before the advisor was asked for its ticket there.

--- a/include/basilusher/Partition/EndedTerm.h
+++ b/include/basilusher/Partition/EndedTerm.h
@@ -43,6 +43,7 @@
   /// Longest time for which leases of owners before this one may last on
   /// workers that it had not read. Zero if it had read all.
   Millis earlier_left{0};
+  /// Their tasks must not start on other workers yet.
   std::vector<UnsettledStart> unsettled_starts;
 };
 
--- a/include/basilusher/Partition/OwnerLateStarts.h
+++ b/include/basilusher/Partition/OwnerLateStarts.h
@@ -60,8 +60,8 @@
   std::vector<UnsettledStart> Describe() const;
   /// The previous owner has told of these.
   void Inherit(const std::vector<UnsettledStart>& starts);
-  /// Sets what the tasks of jobs that have just become known have to wait for.
-  void UpdateTasks();
+  /// A job has become known. Precondition: its occurrences are opened.
+  void OnJobAdded(const std::string& job);
 
  private:
   /// A start of the task has been added or removed.
--- a/include/basilusher/Partition/OwnerState.h
+++ b/include/basilusher/Partition/OwnerState.h
@@ -97,9 +97,6 @@
 struct UnknownJobEnd {
   EndedTask end;
   TimePoint reported_at{};
-  /// When the last complete report was asked for that settles all earlier
-  /// starts for its incarnation; zero if there was none.
-  TimePoint settled_at{};
 };
 
 /// The ends of one report. They are acknowledged together, once all jobs that
--- a/lib/Partition/OwnerLateStarts.cc
+++ b/lib/Partition/OwnerLateStarts.cc
@@ -74,7 +74,12 @@
     owner_->DropIfSafeToForget(worker);
   }
   // The occurrence of an inherited start may have been opened since.
-  UpdateTasks();
+  for (const auto& [worker, starts] : starts_.All()) {
+    for (const LateStart& start : starts) {
+      TaskRecord* task = owner_->jobs_.FindTask(start.task);
+      if (task != nullptr) task->may_start_late = true;
+    }
+  }
 }
 
 std::optional<Millis> OwnerLateStarts::ReportDueIn(
@@ -150,9 +155,11 @@
   }
 }
 
-void OwnerLateStarts::UpdateTasks() {
+void OwnerLateStarts::OnJobAdded(const std::string& job) {
   for (const auto& [worker, starts] : starts_.All()) {
-    for (const LateStart& start : starts) Update(start.task);
+    for (const LateStart& start : starts) {
+      if (start.task.job == job) Update(start.task);
+    }
   }
 }
 
--- a/lib/Partition/OwnerPlacing.cc
+++ b/lib/Partition/OwnerPlacing.cc
@@ -112,12 +112,12 @@
     request.may_crash_worker = IsSuspect(task);
     request.only_worker = OnlyWorkerFor(id, task);
     WorkerCapacity* worker = ChooseWorker(request, workers);
-    // The next tasks may start on any worker.
-    if (worker == nullptr && request.only_worker) continue;
     if (worker == nullptr) {
       if (needs_advice) {
         AskAdvice(*job, occurrence, step, workers, AdviceNeed::kNow);
       }
+      // The next tasks may start on any worker.
+      if (request.only_worker) continue;
       if (!AnyHasRoom(Charge(spec), workers)) full->Add(Charge(spec));
       return;
     }
--- a/lib/Partition/OwnerRecords.cc
+++ b/lib/Partition/OwnerRecords.cc
@@ -348,7 +348,7 @@
   if (loaded_ && catalog_ != nullptr) shares_.NoteArrival(job, *catalog_);
   InheritPlacements(job, progress != loaded_progress_.end());
   OpenDueOccurrences(job, unix_ms);
-  late_starts_.UpdateTasks();
+  late_starts_.OnJobAdded(id);
   if (early_cancels_.erase(id) > 0) {
     CancelJob(id);
     return;
